--- /dev/null
+++ b/control/api.go
@@ -0,0 +1,176 @@
+// Package control decides where each inference goes. This file is its interface: ids, the events a host feeds
+// in, the settings, and the actions that come out. The decisions stand in control.go.
+package control
+
+// Times and spans are seconds with fractions, counted from the dispatcher's own start.
+type Seconds = float64
+
+// Each kind of id is a type of its own; none tells anything beyond identity.
+type (
+	InferenceID uint32
+	WorkerID    uint64
+	ModelID     uint64
+	GroupID     uint16 // model group
+	TenantID    uint16
+	ZoneID      uint16
+	KindID      uint8
+	CellID      uint16
+	PeerID      uint16
+	TimerID     uint32
+)
+
+// AllPeers addresses a note to every fellow dispatcher.
+const AllPeers = PeerID(0xffff)
+
+// Result says how a forward, an order or a probe ended.
+type Result uint8
+
+const (
+	Returned      Result = iota // answered well
+	Errored                     // the worker said error; it may have run
+	Full                        // turned away unseen
+	TimedOut                    // no answer in time; may have run
+	ConnectFailed               // no connection came about
+	Reset                       // connection lost; may have run
+	Cancelled                   // called off; may have run
+	Moot                        // never sent
+	Missed                      // no copy there, or the load waited for failed
+)
+
+// NeverRan tells whether the result proves that the forward did not run.
+func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot || r == Missed }
+
+// Found says how an inference found its model on the worker.
+type Found uint8
+
+const (
+	NotTold Found = iota
+	FoundWarm
+	BeganLoad
+	AwaitedLoad
+	LoadFailed
+)
+
+// WorkerState is what the list of workers says of one.
+type WorkerState uint8
+
+const (
+	Gone WorkerState = iota
+	Ready
+	Draining
+)
+
+// WorkerInfo is one line of the list of workers. Start is the time of the latest start, -Inf for long ago.
+type WorkerInfo struct {
+	ID     WorkerID
+	Zone   ZoneID
+	Kind   KindID
+	Cell   CellID
+	State  WorkerState
+	Weight float64
+	Start  Seconds
+}
+
+// ListKind says what a list event holds.
+type ListKind uint8
+
+const (
+	ListChanges ListKind = iota
+	ListComplete
+	ListCached
+	ListFailed
+)
+
+// Inference is a client's call as it comes in. NotAfter is +Inf where not told; Work and Load are 0 where not told.
+type Inference struct {
+	ID       InferenceID
+	Model    ModelID
+	Group    GroupID
+	Tenant   TenantID
+	MemoryMB float64
+	Lanes    float64
+	Work     Seconds
+	Load     Seconds
+	NotAfter Seconds
+	Repeat   bool
+}
+
+// Outcome tells how one forward ended. Crowd is the count of same-model inferences the worker held, -1 if not told.
+type Outcome struct {
+	ID      InferenceID
+	Forward int
+	Worker  WorkerID
+	Took    Seconds
+	Result  Result
+	Found   Found
+	Crowd   int
+	Final   bool
+	Report  []float64
+}
+
+// OrderResult answers one load order.
+type OrderResult struct {
+	Worker WorkerID
+	Model  ModelID
+	Result Result
+	Took   Seconds
+	Copies int
+}
+
+// ProbeResult answers one probe.
+type ProbeResult struct {
+	Worker WorkerID
+	Result Result
+	Took   Seconds
+	Report []float64
+}
+
+// Actions is how the module acts; all act at the time of the event in hand.
+type Actions interface {
+	Forward(id InferenceID, w WorkerID, timeout Seconds) // timeout 0: until the client's time is up
+	Shed(id InferenceID, retryAfter Seconds)
+	Fail(id InferenceID)
+	Cancel(id InferenceID, forward int)
+	Order(w WorkerID, m ModelID, copies int)
+	Unload(w WorkerID, m ModelID)
+	Probe(w WorkerID)
+	CloseIdle(w WorkerID)
+	Tell(to PeerID, note []byte)
+	Subscribe(on bool)
+	FetchList()
+	Wake(after Seconds, t TimerID)
+	Log(text string)
+}
+
+// Module is a dispatcher as its host drives it: At sets the clock, then the events of that moment in order of
+// arrival, then Settle, which emits what follows from them.
+type Module interface {
+	At(now Seconds)
+	Workers(kind ListKind, version uint32, list []WorkerInfo)
+	Inference(q Inference)
+	Streaming(id InferenceID, forward int, w WorkerID, took Seconds)
+	Outcome(o Outcome)
+	Withdrawn(id InferenceID)
+	Ordered(o OrderResult)
+	Probed(o ProbeResult)
+	Told(from PeerID, note []byte)
+	Timer(t TimerID)
+	Settle()
+}
+
+// Settings is what a dispatcher is told at start: dotted names to float64, string, bool or lists of them.
+type Settings map[string]any
+
+// Num returns a number, or the fallback where it is not told.
+func (s Settings) Num(name string, fallback float64) float64 {
+	if v, ok := s[name].(float64); ok {
+		return v
+	}
+	return fallback
+}
+
+// Text returns a text, empty where it is not told.
+func (s Settings) Text(name string) string { v, _ := s[name].(string); return v }
+
+// Is returns a switch, false where it is not told.
+func (s Settings) Is(name string) bool { v, _ := s[name].(bool); return v }
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,783 @@
+// The decision module: one Dispatcher for each dispatcher process, made by New and driven through the interface
+// Module of api.go (At, then the events of that moment, then Settle). It acts only on its settings and on those
+// events, and only through Actions. Handlers change the wanted state: what each inference in hand should be (held,
+// out, shed, failed), which load orders and which timer should be out. settle alone works out the difference to what
+// is out already and emits it. The ordinary path is docs/design.md's: join an open group, else open one at the
+// worker with least queued work.
+package control
+
+import (
+	"math"
+	"strconv"
+)
+
+const (
+	groupLimit   = 8     // inferences ever in one open group: the paper's MAX_GPSIZE
+	firstLoad    = 2.0   // s, load time of a model before any is told or seen (design)
+	firstRun     = 0.25  // of the SLO time: run time of a model group before any answer
+	blend        = 0.1   // weight of a new answer in run and load times: some ten answers back
+	scan         = 0.02  // s between looks at all in hand: well under any SLO time, and cheap
+	endMargin    = 0.012 // s kept before the client's time is up, on top of two ticks: the answer must still travel
+	patience     = 3.0   // expected answer times until a forward counts as late: answer times spread about this wide
+	patienceSLO  = 0.5   // of the SLO time: no forward counts as late before that
+	badBlend     = 0.2   // weight of one outcome in a worker's failure share: some five back
+	badAside     = 0.3   // failure share at which a worker is set aside: two failures close together
+	badBack      = 0.15  // failure share of one taken back: a single failure sets it aside again
+	trickleFirst = 1.0   // forwards a second let through to a worker set aside
+	trickleBack  = 16.0  // trickle at which it is taken back: four doublings
+	furtherShare = 0.3   // further forwards earned by each inference taken while all of them succeed
+	furtherLeast = 0.03  // and while none does, so that success can be seen again
+	furtherMost  = 30.0  // further forwards saved up at most: a short outage of one worker
+	crowdPause   = 0.1   // s without new groups after a worker turned work away: a few of its answers
+	roomPause    = 1.0   // s without load orders of a model after one found no room
+	coldSafety   = 0.7   // of the cold budget used: the front spreads unevenly, capacity is a guess
+	rateSpan     = 5.0   // s over which own work a second is smoothed
+	askFirst     = 0.5   // s until discovery is asked again after a failed call; doubles
+	rationParts  = 16    // parts of the load order window; a part is counted whole
+	aheadOff     = 1e6   // s added to the cost of a worker tried already: taken only if there is no other
+)
+
+// Dispatcher is the state of one dispatcher.
+type Dispatcher struct {
+	set     Settings
+	act     Actions
+	rnd     random
+	now     Seconds
+	workers []*worker
+	known   map[WorkerID]*worker
+	models  map[ModelID]*model
+	groups  []*modelGroup
+	tenants []*tenant
+	hand    slab
+	dirty   []*inference
+	orders  []*place // wanted load orders
+	waked   bool
+	wakeAt  Seconds
+
+	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
+	rate               float64 // own work sent a second, smoothed
+	rateAt             Seconds
+	ready, aside       int
+	askAt, askGap      Seconds // when discovery is asked next, and the gap after a failure
+	taken, ordered     [rationParts + 1]float64
+	part               int64
+}
+
+// New makes a dispatcher that comes up empty.
+func New(seed uint64, s Settings, a Actions) *Dispatcher {
+	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), known: map[WorkerID]*worker{}, models: map[ModelID]*model{}}
+	d.hand.byID = map[InferenceID]int{}
+	d.further, d.furtherOK = furtherMost, 1
+	d.askAt, d.askGap = math.Inf(1), askFirst
+	if s.Text("discovery") == "ask" {
+		d.askAt = 0
+	}
+	for i := 0; i < int(s.Num("groups", 0)); i++ {
+		at := "groups." + strconv.Itoa(i) + "."
+		g := &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
+			timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), value: s.Num(at+"value", 1),
+			late: s.Num(at+"late_value", 0)}
+		g.run = firstRun * g.slo
+		g.work = g.run
+		d.groups = append(d.groups, g)
+	}
+	for i := 0; i < int(s.Num("tenants", 0)); i++ {
+		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / math.Max(1, s.Num("dispatchers", 1))
+		d.tenants = append(d.tenants, &tenant{quota: q, level: q})
+	}
+	return d
+}
+
+// At sets the clock.
+func (d *Dispatcher) At(now Seconds) { d.now = now }
+
+// Workers follows the list of workers. A fresh start clears all that was believed of the worker.
+func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
+	asked := d.set.Text("discovery") == "ask"
+	if kind == ListFailed {
+		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.set.Num("rules.ask_every", 10))
+		return
+	}
+	if asked && kind != ListCached {
+		d.askAt, d.askGap = math.Inf(1), askFirst
+	}
+	if kind != ListChanges {
+		for _, w := range d.workers {
+			w.State = Gone
+		}
+	}
+	for _, l := range list {
+		w := d.known[l.ID]
+		if w == nil {
+			w = &worker{WorkerInfo: l, index: len(d.workers), listed: d.now, answer: d.now}
+			d.known[l.ID] = w
+			d.workers = append(d.workers, w)
+		} else if l.Start > w.Start {
+			d.fresh(w)
+		}
+		w.WorkerInfo = l
+	}
+	d.ready = 0
+	for _, w := range d.workers {
+		if w.State == Ready {
+			d.ready++
+		}
+	}
+	d.look()
+}
+
+// fresh forgets what was believed of a worker that started anew: it is empty, and owed a new judgement.
+func (d *Dispatcher) fresh(w *worker) {
+	for _, m := range d.models {
+		if w.index < len(m.places) {
+			m.places[w.index].warm = math.Inf(-1)
+			m.places[w.index].noRoom = 0
+		}
+	}
+	d.takeBack(w)
+	w.bad, w.listed, w.crowd, w.coldAt = 0, d.now, 0, 0
+}
+
+// Inference takes one in.
+func (d *Dispatcher) Inference(q Inference) {
+	r := d.hand.take(q.ID)
+	r.group = d.groupOf(q.Group)
+	m := d.models[q.Model]
+	if m == nil {
+		m = &model{id: q.Model, group: r.group, run: r.group.run, load: firstLoad}
+		m.places = make([]place, 0, len(d.workers)+8)
+		d.models[q.Model] = m
+	}
+	if q.Load > 0 && !m.heard {
+		m.load = q.Load
+	}
+	m.lanes = q.Lanes
+	r.model, r.taken, r.work = m, d.now, q.Work
+	r.notAfter = math.Min(q.NotAfter, d.now+r.group.timeout)
+	if q.Work > 0 {
+		r.group.work += blend * (q.Work - r.group.work)
+	}
+	if int(q.Tenant) < len(d.tenants) {
+		t := d.tenants[q.Tenant]
+		t.level = math.Min(t.quota, t.level+(d.now-t.at)*t.quota) - 1
+		t.at = d.now
+		if r.over = t.level < 0; r.over {
+			t.level = 0
+		}
+	}
+	d.further = math.Min(furtherMost, d.further+furtherLeast+(furtherShare-furtherLeast)*d.furtherOK)
+	d.turnRation()
+	d.taken[rationParts]++
+	d.find(r)
+}
+
+func (d *Dispatcher) groupOf(g GroupID) *modelGroup {
+	if int(g) < len(d.groups) {
+		return d.groups[g]
+	}
+	if len(d.groups) == 0 { // nothing told: the strictest
+		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1), run: firstRun,
+			work: firstRun, value: 1})
+	}
+	return d.groups[0]
+}
+
+// margin is how long before the client's time is up the final answer goes out.
+func (d *Dispatcher) margin() Seconds { return endMargin + 2*d.set.Num("tick", 0.001) }
+
+// may tells whether the rules let this inference go to this worker now (rules 1 to 3 and the count of forwards).
+func (d *Dispatcher) may(r *inference, w *worker) bool {
+	if w.State != Ready || d.now >= r.notAfter-d.margin() || r.stream ||
+		r.n >= min(maxForwards, int(d.set.Num("limits.max_forwards", 1))) ||
+		r.out > 0 && !d.set.Is("limits.second_copies") {
+		return false
+	}
+	if r.group.effect == "retriable" {
+		return true
+	}
+	for i := range r.forwards[:r.n] {
+		f := &r.forwards[i]
+		if f.fate == fateNever {
+			continue
+		}
+		if r.group.effect != "deduped" || d.now > f.sent+r.group.window-d.margin() {
+			return false
+		}
+		switch r.group.scope { // the earliest one that may have run binds; the later ones kept to its scope
+		case "all":
+		case "zone":
+			return f.to.Zone == w.Zone
+		case "cell":
+			return f.to.Cell == w.Cell && f.to.Zone == w.Zone
+		default:
+			return false
+		}
+		return true
+	}
+	return true
+}
+
+// mayShed tells whether the client may be told that trying again is harmless (rule 2).
+func (d *Dispatcher) mayShed(r *inference) bool {
+	for i := range r.forwards[:r.n] {
+		f := &r.forwards[i]
+		if f.fate != fateNever && r.group.effect != "retriable" && (r.group.effect != "deduped" ||
+			r.group.scope != "all" || d.now > f.sent+r.group.window-d.margin()) {
+			return false
+		}
+	}
+	return !r.stream
+}
+
+// warmth is the share of its capacity a worker is sure to have since its start (rule 4).
+func (d *Dispatcher) warmth(w *worker) float64 {
+	span, low := d.set.Num("rules.warm_after", 0), d.set.Num("rules.cold_share", 1)
+	if age := d.now - w.Start; age < span {
+		return low + (1-low)*math.Max(0, age)/span
+	}
+	return 1
+}
+
+// open tells whether a worker takes a forward now. It guards cold workers (rule 4: forwards are spaced so that no
+// span holds more than our share of the budget) and lets a trickle through to those set aside; where most look bad
+// at once the cause is likely shared, and none counts as set aside.
+func (d *Dispatcher) open(r *inference, w *worker) bool {
+	if d.warmth(w) < 1 && d.now < w.coldAt {
+		return false
+	}
+	if !w.aside || 2*d.aside > d.ready {
+		return true
+	}
+	return d.now >= w.next && (r.group.effect != "non-retriable" || w.rate > trickleFirst)
+}
+
+// spend books a forward on the budgets of open.
+func (d *Dispatcher) spend(r *inference, w *worker) {
+	if c := d.warmth(w); c < 1 {
+		each := r.group.work
+		seen := d.rate * math.Exp((d.rateAt-d.now)/rateSpan) / math.Max(1, float64(d.ready))
+		least := each / (d.set.Num("rules.fall_time", d.set.Num("rules.fall", 1)) *
+			math.Max(1, d.set.Num("dispatchers", 1)))
+		w.coldAt = math.Max(d.now, w.coldAt) +
+			each/math.Max(least, coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
+	} else {
+		d.rate = d.rate*math.Exp((d.rateAt-d.now)/rateSpan) + r.group.work/rateSpan
+		d.rateAt = d.now
+	}
+	if w.aside {
+		w.next = d.now + 1/w.rate
+	}
+}
+
+// find places an inference: into an open group, into a new one, or it is held until there is a worker for it.
+func (d *Dispatcher) find(r *inference) {
+	d.touch(r)
+	if pl := d.join(r); pl != nil {
+		pl.count++
+		if pl.cold {
+			d.hold(r, pl)
+			return
+		}
+		d.send(r, pl)
+		return
+	}
+	pl := d.least(r, false)
+	if pl == nil {
+		d.hold(r, nil)
+		return
+	}
+	pl.group++
+	pl.open, pl.count = 0, 1
+	if pl.warm < d.now && !pl.cold {
+		pl.cold, pl.since = true, d.now
+		pl.worker.loads += r.model.load
+	}
+	d.send(r, pl)
+}
+
+// join returns the place with an open group that this inference may join: under the limit, and own requests there
+// take less than a load would; of several, where they take least.
+func (d *Dispatcher) join(r *inference) *place {
+	var best *place
+	for i := range r.model.places {
+		pl := &r.model.places[i]
+		w := pl.worker
+		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
+			w.work+float64(pl.waiting)*r.model.run >= r.model.load || !d.may(r, w) || !d.open(r, w) {
+			continue
+		}
+		if best == nil || w.work < best.worker.work {
+			best = pl
+		}
+	}
+	return best
+}
+
+// least returns the place with least queued work, load included where no warm copy is believed; ties are random.
+func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
+	var best *place
+	low, ties := math.Inf(1), 0
+	for _, w := range d.workers {
+		if !d.may(r, w) || !d.open(r, w) || d.now < w.crowd {
+			continue
+		}
+		pl := r.model.at(w)
+		c := (w.work+r.model.run)/d.warmth(w) + w.loads
+		if pl.warm < d.now {
+			if warmOnly || pl.noRoom > d.now {
+				continue
+			}
+			c += r.model.load
+		}
+		// A quick error must not make a worker look empty: its failures count as work to be done again.
+		c += w.bad * (r.model.load + r.group.slo)
+		if r.tried(w) {
+			c += aheadOff
+		}
+		if c < low-1e-9 {
+			best, low, ties = pl, c, 1
+		} else if c < low+1e-9 {
+			if ties++; d.rnd.below(ties) == 0 {
+				best = pl
+			}
+		}
+	}
+	return best
+}
+
+// hold keeps an inference here: for a place's first answer or order, or (nil) for a worker to have room.
+func (d *Dispatcher) hold(r *inference, pl *place) {
+	r.want = wantHold
+	if r.out > 0 {
+		r.want = wantOut
+		pl = nil
+	}
+	if r.waits = pl; pl != nil {
+		pl.waiting++
+	}
+}
+
+// send wants a forward to a place and books it in the ledger.
+func (d *Dispatcher) send(r *inference, pl *place) {
+	w, m := pl.worker, r.model
+	f := &r.forwards[r.n]
+	*f = forward{to: w, start: w.Start, sent: d.now, run: m.run, group: pl.group, expect: w.work + m.run}
+	if pl.warm < d.now {
+		f.load = true
+		f.expect += m.load + w.loads
+	}
+	r.n++
+	r.out++
+	r.want = wantForward
+	w.work += f.run
+	w.out++
+	pl.open++
+	pl.out++
+	d.spend(r, w)
+}
+
+// settled notes that a place's cold group has its first answer.
+func (d *Dispatcher) settled(pl *place) {
+	if pl.cold {
+		pl.cold = false
+		pl.worker.loads = math.Max(0, pl.worker.loads-pl.model.load)
+	}
+}
+
+// release lets those held for a place go: to it where a copy stands there, else anew.
+func (d *Dispatcher) release(pl *place, stands bool) {
+	if pl.waiting == 0 {
+		return
+	}
+	for _, r := range d.hand.all {
+		if !r.live || r.waits != pl || r.want != wantHold {
+			continue
+		}
+		pl.waiting--
+		r.waits = nil
+		d.touch(r)
+		switch {
+		case stands && d.may(r, pl.worker) && d.open(r, pl.worker):
+			d.send(r, pl)
+		case !stands && r.n > 0: // it has missed there: to a warm worker, or back to the client
+			if other := d.least(r, true); other != nil {
+				d.send(r, other)
+			} else {
+				d.giveUp(r)
+			}
+		default:
+			d.find(r)
+		}
+	}
+	pl.waiting = 0
+}
+
+// Outcome takes the end of a forward.
+func (d *Dispatcher) Outcome(o Outcome) {
+	r := d.hand.find(o.ID)
+	if r == nil || o.Forward < 0 || o.Forward >= r.n || r.forwards[o.Forward].fate != fateOut {
+		return
+	}
+	f := &r.forwards[o.Forward]
+	w, m := f.to, r.model
+	pl := m.at(w)
+	d.unbook(r, f, pl)
+	if f.fate = fateMay; o.Result.NeverRan() {
+		f.fate = fateNever
+	}
+	if o.Result != TimedOut && o.Result != ConnectFailed && o.Result != Reset && o.Result != Cancelled && o.Result != Moot {
+		w.answer = d.now
+	}
+	if o.Forward > 0 && o.Result != Cancelled && o.Result != Missed {
+		ok := 0.0
+		if o.Result == Returned {
+			ok = 1
+		}
+		d.furtherOK += blend * (ok - d.furtherOK)
+	}
+	switch o.Result {
+	case Returned:
+		d.learn(r, f, o)
+		d.judge(w, true)
+		if f.start == w.Start {
+			pl.warm = d.now + d.set.Num("models.keep", 0)
+		}
+		d.settled(pl)
+		d.release(pl, true)
+		d.end(r)
+		return
+	case Missed, Full:
+		if o.Result == Full {
+			w.crowd = d.now + crowdPause
+		}
+		if o.Result == Missed {
+			pl.warm = math.Inf(-1)
+		}
+		if o.Result == Missed && r.want != wantDone && o.Found != LoadFailed && d.order(pl) {
+			d.hold(r, pl)
+			return
+		}
+		d.settled(pl)
+		d.release(pl, false)
+	case Errored, TimedOut, ConnectFailed, Reset:
+		if o.Found == LoadFailed {
+			pl.warm = math.Inf(-1)
+		} else if o.Result != TimedOut || d.now < r.notAfter-d.margin() {
+			d.judge(w, false)
+		}
+		d.settled(pl)
+		d.release(pl, false)
+	case Cancelled, Moot:
+		d.settled(pl)
+		d.release(pl, false)
+	}
+	if o.Final || r.want == wantDone {
+		d.end(r)
+		return
+	}
+	if r.out == 0 && r.want != wantHold {
+		d.again(r)
+	}
+}
+
+// learn takes run and load times from an answer.
+func (d *Dispatcher) learn(r *inference, f *forward, o Outcome) {
+	m, g := r.model, r.group
+	switch {
+	case o.Found == FoundWarm || o.Found == NotTold && !f.load:
+		if !m.timed {
+			m.run, m.timed = o.Took, true
+		}
+		m.run += blend * (o.Took - m.run)
+		if !g.answered {
+			g.run, g.answered = o.Took, true
+		}
+		g.run += blend * (o.Took - g.run)
+		if r.work == 0 {
+			g.work += blend * (o.Took - g.work)
+		}
+	case o.Found == BeganLoad:
+		d.loaded(m, math.Max(0, o.Took-m.run))
+	}
+}
+
+func (d *Dispatcher) loaded(m *model, took Seconds) {
+	if !m.heard {
+		m.heard, m.load = true, took
+	}
+	m.load += blend * (took - m.load)
+}
+
+// judge keeps a worker's failure share and sets it aside or brings it back by a trickle that doubles.
+func (d *Dispatcher) judge(w *worker, ok bool) {
+	if ok {
+		w.bad -= badBlend * w.bad
+		if w.aside {
+			if w.rate *= 2; w.rate >= trickleBack {
+				d.takeBack(w)
+			}
+		}
+		return
+	}
+	if w.bad += badBlend * (1 - w.bad); w.bad > badAside || w.aside {
+		d.setAside(w)
+	}
+}
+
+func (d *Dispatcher) setAside(w *worker) {
+	if !w.aside {
+		w.aside, w.since = true, d.now
+		d.aside++
+	}
+	w.rate, w.next = trickleFirst, d.now+1/trickleFirst
+}
+
+func (d *Dispatcher) takeBack(w *worker) {
+	if w.aside {
+		w.aside, w.bad = false, badBack
+		d.aside--
+	}
+}
+
+// again makes a further forward where the model group, the rules and the success of recent ones allow.
+func (d *Dispatcher) again(r *inference) {
+	allowed := false
+	for _, w := range d.workers {
+		allowed = allowed || d.may(r, w)
+	}
+	if !allowed || d.further < 1 {
+		if r.out == 0 {
+			d.giveUp(r)
+		}
+		return
+	}
+	d.further--
+	d.find(r)
+}
+
+// giveUp answers an inference for good, at once.
+func (d *Dispatcher) giveUp(r *inference) {
+	d.touch(r)
+	if r.waits != nil {
+		r.waits.waiting--
+		r.waits = nil
+	}
+	if r.want = wantFail; d.mayShed(r) {
+		r.want = wantShed
+	}
+}
+
+// end notes that the final answer is given.
+func (d *Dispatcher) end(r *inference) {
+	if r.waits != nil {
+		r.waits.waiting--
+		r.waits = nil
+	}
+	if r.want == wantForward { // never sent
+		r.n--
+		f := &r.forwards[r.n]
+		d.unbook(r, f, r.model.at(f.to))
+	}
+	r.want = wantDone
+	d.touch(r)
+}
+
+// Withdrawn takes note that the client left.
+func (d *Dispatcher) Withdrawn(id InferenceID) {
+	if r := d.hand.find(id); r != nil && r.want != wantDone {
+		d.end(r)
+	}
+}
+
+// Streaming takes note that the answer has begun: the forward is the client's now.
+func (d *Dispatcher) Streaming(id InferenceID, _ int, w WorkerID, _ Seconds) {
+	if r := d.hand.find(id); r != nil {
+		r.stream = true
+	}
+	if k := d.known[w]; k != nil {
+		k.answer = d.now
+	}
+}
+
+// order wants a load order for a place: one for a worker and model at a time, within the ration.
+func (d *Dispatcher) order(pl *place) bool {
+	if pl.ordered || pl.wanted {
+		return true
+	}
+	if !d.set.Is("models.orders") || d.set.Text("models.on_miss") != "miss" || pl.noRoom > d.now ||
+		pl.worker.State != Ready || !d.ration() {
+		return false
+	}
+	pl.wanted = true
+	d.orders = append(d.orders, pl)
+	return true
+}
+
+// turnRation moves the parts of the load order window on.
+func (d *Dispatcher) turnRation() {
+	span := d.set.Num("models.load_window", 0)
+	if span <= 0 {
+		return
+	}
+	for now := int64(d.now / span * rationParts); d.part < now; d.part++ {
+		copy(d.taken[:], d.taken[1:])
+		copy(d.ordered[:], d.ordered[1:])
+		d.taken[rationParts], d.ordered[rationParts] = 0, 0
+		if now-d.part > rationParts+1 {
+			d.part = now - rationParts - 1
+		}
+	}
+}
+
+// ration spends one load order where a limit is stated (rule 5): the oldest part counts for orders, not for takings.
+func (d *Dispatcher) ration() bool {
+	if d.set.Num("models.load_window", 0) <= 0 {
+		return true
+	}
+	d.turnRation()
+	sent, took := 1+d.ordered[0], 0.0
+	for i := 1; i <= rationParts; i++ {
+		sent += d.ordered[i]
+		took += d.taken[i]
+	}
+	if sent > d.set.Num("models.load_few", 0)+d.set.Num("models.load_share", 0)*took {
+		return false
+	}
+	d.ordered[rationParts]++
+	return true
+}
+
+// Ordered takes the answer to a load order.
+func (d *Dispatcher) Ordered(o OrderResult) {
+	w, m := d.known[o.Worker], d.models[o.Model]
+	if w == nil || m == nil {
+		return
+	}
+	pl := m.at(w)
+	pl.ordered = false
+	stands := o.Result == Returned && o.Copies > 0
+	if o.Result == Returned || o.Result == Full || o.Result == Errored {
+		w.answer = d.now
+	}
+	if stands {
+		d.loaded(m, o.Took)
+		pl.warm = d.now + d.set.Num("models.keep", 0)
+	} else {
+		pl.warm = math.Inf(-1)
+		pl.noRoom = d.now + roomPause
+	}
+	d.settled(pl)
+	d.release(pl, stands)
+}
+
+// Probed takes the answer to a probe.
+func (d *Dispatcher) Probed(o ProbeResult) {
+	if w := d.known[o.Worker]; w != nil && o.Result == Returned {
+		w.answer = d.now
+	}
+}
+
+// Told takes a note of a fellow dispatcher; none is needed so far.
+func (d *Dispatcher) Told(PeerID, []byte) {}
+
+// Timer looks at all in hand.
+func (d *Dispatcher) Timer(TimerID) {
+	d.waked = false
+	d.look()
+}
+
+// look goes over all in hand: time-outs, late forwards, and those held for a worker to have room.
+func (d *Dispatcher) look() {
+	for _, r := range d.hand.all {
+		if !r.live || r.want == wantDone || r.want == wantShed || r.want == wantFail || r.want == wantForward {
+			continue
+		}
+		if d.now >= r.notAfter-d.margin() && !r.stream {
+			d.giveUp(r)
+			continue
+		}
+		if r.want == wantHold {
+			if pl := r.waits; pl != nil && pl.worker.State == Ready && !pl.worker.aside && (pl.ordered || pl.wanted ||
+				d.now < pl.since+patience*r.model.load) {
+				continue
+			}
+			if r.waits != nil {
+				r.waits.waiting--
+				r.waits = nil
+			}
+			d.find(r)
+			continue
+		}
+		for i := 0; i < r.n && r.want == wantOut && !r.stream; i++ {
+			if f := &r.forwards[i]; f.fate == fateOut && !f.hedged {
+				d.late(r, f, i)
+			}
+		}
+	}
+}
+
+// late answers silence: a forward far past its expected time gets a second copy where the model group allows one, and
+// its worker, if nothing at all was heard from it since, is set aside.
+func (d *Dispatcher) late(r *inference, f *forward, i int) {
+	age := d.now - f.sent
+	if age < math.Max(patience*f.expect, patienceSLO*r.group.slo) && f.to.State == Ready && f.to.Start == f.start {
+		return
+	}
+	f.hedged = true
+	if f.to.answer < f.sent {
+		d.setAside(f.to)
+	}
+	if d.set.Is("limits.second_copies") {
+		d.again(r)
+	}
+}
+
+// Settle emits the difference between the wanted state and what is out.
+func (d *Dispatcher) Settle() {
+	if d.now >= d.askAt {
+		d.act.Subscribe(true)
+		d.askAt = math.Inf(1)
+	}
+	for _, pl := range d.orders {
+		pl.wanted = false
+		if pl.worker.State == Ready {
+			pl.ordered, pl.since = true, d.now
+			d.act.Order(pl.worker.ID, pl.model.id, 1)
+		}
+	}
+	d.orders = d.orders[:0]
+	for _, r := range d.dirty {
+		r.dirty = false
+		switch r.want {
+		case wantForward:
+			d.act.Forward(r.id, r.forwards[r.n-1].to.ID, 0)
+			r.want = wantOut
+		case wantShed:
+			back := 0.0
+			if d.set.Is("limits.retry_after") {
+				back = math.Min(r.model.load, d.set.Num("limits.max_retry_after", 0))
+			}
+			d.act.Shed(r.id, back)
+			r.want = wantDone
+		case wantFail:
+			d.act.Fail(r.id)
+			r.want = wantDone
+		}
+		if r.want != wantDone {
+			continue
+		}
+		for i := range r.forwards[:r.n] {
+			if f := &r.forwards[i]; f.fate == fateOut && d.set.Is("limits.cancel") && !r.stream {
+				d.act.Cancel(r.id, i)
+			}
+		}
+		if r.out == 0 && r.live {
+			d.hand.drop(r)
+		}
+	}
+	d.dirty = d.dirty[:0]
+	if !d.waked && (len(d.hand.byID) > 0 || !math.IsInf(d.askAt, 1)) {
+		d.waked = true
+		d.act.Wake(scan, 0)
+	}
+}
--- /dev/null
+++ b/control/rand.go
@@ -0,0 +1,17 @@
+package control
+
+// random is a multiply-with-carry generator, started from the dispatcher's seed.
+type random struct{ x, c uint32 }
+
+func newRandom(seed uint64) random {
+	return random{uint32(seed) ^ 0x9e3779b9, uint32(seed>>32)%698769068 + 1}
+}
+
+func (r *random) next() uint32 {
+	t := uint64(r.x)*698769069 + uint64(r.c)
+	r.x, r.c = uint32(t), uint32(t>>32)
+	return r.x
+}
+
+// below returns a number from 0 to n-1.
+func (r *random) below(n int) int { return int(uint64(r.next()) * uint64(n) >> 32) }
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,217 @@
+package control
+
+import "math"
+
+// maxForwards is how many forwards one record can hold.
+const maxForwards = 8
+
+type fate uint8
+
+const (
+	fateOut   fate = iota // sent, no outcome yet
+	fateNever             // known not to have run
+	fateMay               // over, and may have run
+)
+
+// forward is one sending of an inference to a worker.
+type forward struct {
+	to     *worker
+	start  Seconds // the worker's start as known when sent
+	sent   Seconds
+	expect Seconds // answer time expected when sent
+	run    Seconds // what the ledger counts for it
+	group  uint32  // which open group of the place it joined
+	fate   fate
+	ghost  bool // its run time stays in the ledger past its outcome
+	hedged bool // a second copy was tried for it
+	load   bool // it carries a load not yet seen to stand
+}
+
+type want uint8
+
+const (
+	wantHold    want = iota // wait here
+	wantForward             // send to the worker in to
+	wantShed
+	wantFail
+	wantOut  // nothing more: a forward is out
+	wantDone // its final answer is given
+)
+
+// inference is one in hand: its record lives in the slab until its final answer is given and no forward is out.
+type inference struct {
+	id       InferenceID
+	model    *model
+	group    *modelGroup
+	tenant   *tenant
+	taken    Seconds
+	notAfter Seconds
+	work     Seconds
+	want     want
+	to       *worker
+	load     bool   // the wanted forward opens a cold group
+	waits    *place // the place whose first answer or order it is held for
+	forwards [maxForwards]forward
+	n        int // forwards made
+	out      int // forwards without an outcome
+	place    int // own place in the slab
+	live     bool
+	dirty    bool
+	stream   bool
+	over     bool // beyond its tenant's share
+}
+
+// slab holds the inferences in hand in places that are used again.
+type slab struct {
+	all  []*inference
+	free []int
+	byID map[InferenceID]int
+}
+
+func (s *slab) take(id InferenceID) *inference {
+	if len(s.free) == 0 {
+		s.all = append(s.all, new(inference))
+		s.free = append(s.free, len(s.all)-1)
+	}
+	i := s.free[len(s.free)-1]
+	s.free = s.free[:len(s.free)-1]
+	*s.all[i] = inference{id: id, place: i, live: true}
+	s.byID[id] = i
+	return s.all[i]
+}
+
+func (s *slab) find(id InferenceID) *inference {
+	if i, ok := s.byID[id]; ok {
+		return s.all[i]
+	}
+	return nil
+}
+
+func (s *slab) drop(r *inference) {
+	r.live = false
+	delete(s.byID, r.id)
+	s.free = append(s.free, r.place)
+}
+
+// place is what this dispatcher knows of one model on one worker: its open group and its belief in a warm copy.
+type place struct {
+	worker  *worker
+	model   *model
+	warm    Seconds // believed warm until then
+	group   uint32  // number of the newest group
+	open    int     // its members without an answer
+	count   int     // its members ever
+	waiting int     // members held here for its first answer or for an order
+	out     int     // all own forwards of the model there
+	cold    bool    // the group's first answer is still out
+	ordered bool    // a load order is out
+	wanted  bool    // a load order is wanted
+	since   Seconds // when the order went out, or the cold group opened
+	noRoom  Seconds // no copy can be had there until then
+}
+
+// worker is one worker as this dispatcher knows it.
+type worker struct {
+	WorkerInfo
+	index  int
+	listed Seconds // when its present start was first told
+	work   Seconds // run time of own forwards there
+	loads  Seconds // load times of own cold groups there
+	out    int
+	bad    float64 // smoothed share of forwards that failed for the worker's own reasons
+	slow   float64 // smoothed answer time over the expected
+	served float64 // smoothed work answered each second
+	answer Seconds // last sign of life
+	aside  bool
+	since  Seconds // set aside since
+	rate   float64 // forwards a second let through while set aside
+	next   Seconds // no forward before then while set aside
+	crowd  Seconds // turned work away; no new group until then
+	ghosts []ghost
+	coldAt Seconds // cold budget: the next forward fits then
+	silent bool
+	report [4]float64
+	told   Seconds // when the report came
+}
+
+// ghost is run time that stays in the ledger until its time is up.
+type ghost struct {
+	until Seconds
+	run   Seconds
+}
+
+// model is one model: its estimates and its places, by worker index.
+type model struct {
+	id     ModelID
+	group  *modelGroup
+	run    Seconds // smoothed warm answer time
+	load   Seconds // load time, told or learned
+	heard  bool    // load time learned from an answer
+	timed  bool    // run time learned from an answer
+	lanes  float64
+	places []place
+}
+
+// modelGroup is a model group with its settings.
+type modelGroup struct {
+	effect   string
+	scope    string
+	slo      Seconds
+	timeout  Seconds
+	window   Seconds
+	value    float64
+	late     float64
+	run      Seconds // smoothed warm answer time of its models
+	work     Seconds // smoothed mean work of an inference, for the cold budget
+	answered bool
+}
+
+// tenant counts one tenant's traffic against its share.
+type tenant struct {
+	quota float64 // inferences a second in its share, for this dispatcher
+	level float64 // token bucket
+	at    Seconds
+}
+
+// at returns the place of a model on a worker.
+func (m *model) at(w *worker) *place {
+	for len(m.places) <= w.index {
+		m.places = append(m.places, place{})
+	}
+	pl := &m.places[w.index]
+	if pl.worker == nil {
+		*pl = place{worker: w, model: m, warm: math.Inf(-1)}
+	}
+	return pl
+}
+
+// tried tells whether a forward of this inference went to the worker and did not just miss there.
+func (r *inference) tried(w *worker) bool {
+	for i := range r.forwards[:r.n] {
+		if f := &r.forwards[i]; f.to == w && f.fate != fateNever {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) touch(r *inference) {
+	if !r.dirty {
+		r.dirty = true
+		d.dirty = append(d.dirty, r)
+	}
+}
+
+// unbook takes a forward out of the ledger.
+func (d *Dispatcher) unbook(r *inference, f *forward, pl *place) {
+	r.out--
+	f.to.out--
+	pl.out--
+	f.to.work = math.Max(0, f.to.work-f.run)
+	if pl.out == 0 && f.to.out == 0 {
+		f.to.work = 0
+	}
+	if f.group == pl.group && pl.open > 0 {
+		pl.open--
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"mastchute/control"
+)
+
+// names turns the wire's setting names into ours; a name not listed keeps its own.
+var names = map[string]string{
+	"request_classes": "groups", "aim": "slo", "deadline": "timeout", "gain": "value", "group": "scope",
+	"peers_total": "dispatchers", "azs": "zones", "costs": "prices", "max_attempts": "max_forwards",
+	"parallel_tries": "second_copies", "probing": "probes", "when_absent": "on_miss", "may_order": "orders",
+	"stays_loaded": "keep", "order_limit": "order_timeout", "marks_cold": "tells_warm",
+	"counts_alike": "tells_crowd", "load_period": "load_window", "load_floor": "load_few",
+	"late_worth": "late_value", "over_share_worth": "over_share_value", "quota_rps": "quota", "portion": "share",
+	"resolution": "tick", "family_info": "models", "late_fail": "late_failure", "worth_by": "value_by",
+}
+
+// effects and words turn the wire's choice words into ours, for the one setting each that holds them.
+var words = map[string]map[string]string{
+	"effect":    {"pure": "retriable", "token": "deduped", "side_effect": "non-retriable"},
+	"discovery": {"automatic": "push", "subscribe": "ask"},
+}
+
+// settings reads the settings text into a flat map: dotted names, list places as numbers, spans in seconds, and the
+// length of each list under its own name.
+func settings(text []byte) (control.Settings, error) {
+	var root map[string]any
+	if err := json.Unmarshal(text, &root); err != nil {
+		return nil, fmt.Errorf("settings are not a JSON object: %w", err)
+	}
+	flat := control.Settings{}
+	flatten(flat, "", "", root)
+	return flat, nil
+}
+
+func flatten(flat control.Settings, at, key string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, e := range v {
+			name, isSpan := strings.CutSuffix(k, "_us")
+			if ours, ok := names[name]; ok {
+				name = ours
+			}
+			if n, ok := e.(float64); ok && isSpan {
+				e = n / 1e6
+			}
+			flatten(flat, join(at, name), name, e)
+		}
+	case []any:
+		flat[at] = float64(len(v))
+		for i, e := range v {
+			flatten(flat, join(at, strconv.Itoa(i)), key, e)
+		}
+	case string:
+		if ours, ok := words[key][v]; ok {
+			v = ours
+		}
+		flat[at] = v
+	case nil:
+	default:
+		flat[at] = v
+	}
+}
+
+func join(at, name string) string {
+	if at == "" {
+		return name
+	}
+	return at + "." + name
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,493 @@
+// Package wire speaks the simulator's wire: it reads batches of events for many dispatchers, drives one control.Module
+// for each, and writes their actions. It decides nothing and shares nothing between dispatchers.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+
+	"mastchute/control"
+)
+
+const (
+	headSize  = 20 // bytes of a batch's header
+	replyHead = 12 // bytes of a reply's header
+	lineSize  = 24 // bytes of one line of the list of workers
+	maxFrame  = 1 << 30
+	micro     = 1e6
+	maxNote   = 256 // bytes of a note to a peer
+	maxText   = 65535
+)
+
+// Event codes.
+const (
+	evBegin = iota + 1
+	evWithdrawn
+	evFor
+	evMembers
+	evElapsed
+	evInPlace
+	evStatusBack
+	evHeaders
+	evQuery
+	evPeerData
+	evFinished
+	evShutdown
+)
+
+// Action codes.
+const (
+	acUnmount = iota + 65
+	acReportFailure
+	acAbortAttempt
+	acTail
+	acWakeAt
+	acReject
+	acPoll
+	acEnsure
+	acReload
+	acRelay
+	acDisconnect
+	acLog
+	acBy
+	acGiveIn
+	acMemoTo
+)
+
+// Start makes the module of a dispatcher that comes up.
+type Start func(seed uint64, s control.Settings, a control.Actions) control.Module
+
+// host runs all dispatchers of this process.
+type host struct {
+	start   Start
+	all     map[uint16]*dispatcher
+	touched []*dispatcher
+	out     reply
+}
+
+// dispatcher is one running module; origin is the clock at its start, in microseconds.
+type dispatcher struct {
+	number  uint16
+	origin  uint64
+	module  control.Module
+	out     *reply
+	turn    bool // has an event in this batch
+	panicky string
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer, start Start) error {
+	h := &host{start: start, all: map[uint16]*dispatcher{}}
+	r := bufio.NewReaderSize(in, 1<<16)
+	var body bytes.Buffer
+	for n := 1; ; n++ {
+		var head [headSize]byte
+		if _, err := io.ReadFull(r, head[:]); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("batch %d: header cut short: %w", n, err)
+		}
+		size := binary.LittleEndian.Uint32(head[4:])
+		if size < headSize || size > maxFrame {
+			return fmt.Errorf("batch %d: length %d does not add up", n, size)
+		}
+		body.Reset()
+		if _, err := io.CopyN(&body, r, int64(size-headSize)); err != nil {
+			return fmt.Errorf("batch %d: frame of %d bytes cut short: %w", n, size, err)
+		}
+		text, err := h.batch(head[:], body.Bytes())
+		if err != nil {
+			return fmt.Errorf("batch %d: %w", n, err)
+		}
+		if _, err := out.Write(text); err != nil {
+			return fmt.Errorf("batch %d: writing the reply: %w", n, err)
+		}
+	}
+}
+
+// batch plays one batch and returns the reply frame.
+func (h *host) batch(head, body []byte) ([]byte, error) {
+	count := binary.LittleEndian.Uint32(head)
+	clock := binary.LittleEndian.Uint64(head[8:])
+	h.out.reset()
+	h.touched = h.touched[:0]
+	rd := &reader{b: body, base: headSize}
+	var number uint16
+	named := false
+	for i := uint32(0); i < count; i++ {
+		at := rd.pos()
+		code := rd.u16()
+		if code == evFor {
+			number, named = rd.u16(), true
+		} else if rd.err == nil {
+			if !named {
+				return nil, fmt.Errorf("record %d at byte %d: event %d before any For", i, at, code)
+			}
+			if err := h.event(rd, code, number, clock); err != nil {
+				return nil, fmt.Errorf("record %d at byte %d: %w", i, at, err)
+			}
+		}
+		if rd.err != nil {
+			return nil, fmt.Errorf("record %d at byte %d, code %d: %w", i, at, code, rd.err)
+		}
+	}
+	if rd.i != len(body) {
+		return nil, fmt.Errorf("%d bytes left over after %d records", len(body)-rd.i, count)
+	}
+	for _, d := range h.touched {
+		d.turn = false
+		if h.all[d.number] != d {
+			continue // stopped within this batch
+		}
+		d.guard(d.module.Settle)
+		if d.panicky != "" {
+			d.out.by(d.number)
+			d.out.begin(acGiveIn)
+			d.out.text(d.panicky)
+		}
+	}
+	return h.out.frame(head[16:20]), nil
+}
+
+// guard runs decision code; a panic in it is kept for the wire's give-in action.
+func (d *dispatcher) guard(f func()) {
+	if d.panicky != "" {
+		return
+	}
+	defer func() {
+		if v := recover(); v != nil {
+			d.panicky = fmt.Sprint("decision code failed: ", v)
+		}
+	}()
+	f()
+}
+
+// span returns a clock time as seconds since the dispatcher's start.
+func (d *dispatcher) span(clock uint64) float64 { return float64(int64(clock-d.origin)) / micro }
+
+// event decodes one event and hands it to its module. Events for a dispatcher that is not up are read and passed over.
+func (h *host) event(rd *reader, code, number uint16, clock uint64) error {
+	if code == evBegin {
+		seed := rd.u64()
+		text := rd.bytes(int(rd.u32()))
+		if rd.err != nil {
+			return rd.err
+		}
+		s, err := settings(text)
+		if err != nil {
+			return err
+		}
+		d := &dispatcher{number: number, origin: clock, out: &h.out}
+		h.all[number] = d
+		d.guard(func() { d.module = h.start(seed, s, d) })
+		h.touch(d, clock)
+		return nil
+	}
+	d := h.all[number]
+	play := func(f func(m control.Module)) {
+		if d != nil && rd.err == nil {
+			h.touch(d, clock)
+			d.guard(func() { f(d.module) })
+		}
+	}
+	switch code {
+	case evShutdown:
+		delete(h.all, number)
+	case evWithdrawn:
+		id := control.InferenceID(rd.u32())
+		play(func(m control.Module) { m.Withdrawn(id) })
+	case evElapsed:
+		t := control.TimerID(rd.u32())
+		play(func(m control.Module) { m.Timer(t) })
+	case evMembers:
+		return h.members(rd, d, play)
+	case evInPlace:
+		o := control.OrderResult{Worker: rd.worker(), Model: control.ModelID(rd.u64()), Result: rd.result()}
+		o.Took = rd.micros()
+		o.Copies = int(rd.u8())
+		play(func(m control.Module) { m.Ordered(o) })
+	case evStatusBack:
+		o := control.ProbeResult{Worker: rd.worker(), Result: rd.result(), Took: rd.micros(), Report: rd.gauge()}
+		play(func(m control.Module) { m.Probed(o) })
+	case evHeaders:
+		id, took, leg, w := control.InferenceID(rd.u32()), rd.micros(), int(rd.u16()), rd.worker()
+		play(func(m control.Module) { m.Streaming(id, leg, w, took) })
+	case evQuery:
+		q := control.Inference{ID: control.InferenceID(rd.u32()), MemoryMB: rd.f32()}
+		q.Tenant = control.TenantID(rd.u16())
+		q.Model = control.ModelID(rd.u64())
+		work := rd.micros()
+		q.Lanes = rd.f32()
+		end := rd.u64()
+		opts := rd.u16()
+		q.Load = rd.f32() / 1e3
+		q.Group = control.GroupID(rd.u16())
+		q.Repeat = opts&2 != 0
+		if opts&1 != 0 {
+			q.Work = work
+		}
+		q.NotAfter = math.Inf(1)
+		if end != 0 && d != nil {
+			q.NotAfter = d.span(end)
+		}
+		play(func(m control.Module) { m.Inference(q) })
+	case evPeerData:
+		from := control.PeerID(rd.u16())
+		note := rd.bytes(int(rd.u16()))
+		play(func(m control.Module) { m.Told(from, note) })
+	case evFinished:
+		o := control.Outcome{ID: control.InferenceID(rd.u32()), Took: rd.micros(), Worker: rd.worker()}
+		o.Forward = int(rd.u16())
+		note := rd.u8()
+		o.Final = rd.u8() != 0
+		o.Result = rd.result()
+		o.Found = control.Found(note & 7)
+		o.Crowd = int(note >> 3)
+		o.Report = rd.gauge()
+		play(func(m control.Module) { m.Outcome(o) })
+	default:
+		return fmt.Errorf("unknown event code %d", code)
+	}
+	return rd.err
+}
+
+// members decodes a list of workers.
+func (h *host) members(rd *reader, d *dispatcher, play func(func(control.Module))) error {
+	kinds := map[uint8]control.ListKind{0: control.ListChanges, 4: control.ListComplete, 3: control.ListCached, 1: control.ListFailed}
+	how := rd.u8()
+	kind, ok := kinds[how]
+	if !ok && rd.err == nil {
+		return fmt.Errorf("unknown list kind %d", how)
+	}
+	version, n := rd.u32(), rd.u32()
+	if rd.err == nil && uint64(n)*lineSize > uint64(len(rd.b)-rd.i) {
+		return fmt.Errorf("list of %d workers is longer than the frame", n)
+	}
+	var list []control.WorkerInfo
+	for i := uint32(0); i < n && rd.err == nil; i++ {
+		w := control.WorkerInfo{ID: rd.worker(), Zone: control.ZoneID(rd.u16()), Kind: control.KindID(rd.u8())}
+		w.Cell = control.CellID(rd.u16())
+		state := rd.u8()
+		if state > uint8(control.Draining) && rd.err == nil {
+			return fmt.Errorf("unknown worker state %d", state)
+		}
+		w.State = control.WorkerState(state)
+		w.Weight = rd.f32()
+		w.Start = math.Inf(-1)
+		if at := rd.u64(); at != 0 && d != nil {
+			w.Start = d.span(at)
+		}
+		list = append(list, w)
+	}
+	play(func(m control.Module) { m.Workers(kind, version, list) })
+	return rd.err
+}
+
+// touch notes that a dispatcher has an event in this batch and sets its clock.
+func (h *host) touch(d *dispatcher, clock uint64) {
+	if !d.turn {
+		d.turn = true
+		h.touched = append(h.touched, d)
+		d.guard(func() { d.module.At(d.span(clock)) })
+	}
+}
+
+// reader takes fields off a frame; the first one that does not fit sets err, and all later ones read as zero.
+type reader struct {
+	b    []byte
+	i    int
+	base int
+	err  error
+}
+
+func (r *reader) pos() int { return r.base + r.i }
+
+func (r *reader) bytes(n int) []byte {
+	if r.err == nil && n > len(r.b)-r.i {
+		r.err = fmt.Errorf("%d bytes wanted at byte %d, %d left in the frame", n, r.pos(), len(r.b)-r.i)
+	}
+	if r.err != nil {
+		return nil
+	}
+	r.i += n
+	return r.b[r.i-n : r.i]
+}
+
+var zeros [8]byte
+
+func (r *reader) fixed(n int) []byte {
+	if b := r.bytes(n); b != nil {
+		return b
+	}
+	return zeros[:n]
+}
+
+func (r *reader) u8() uint8       { return r.fixed(1)[0] }
+func (r *reader) u16() uint16     { return binary.LittleEndian.Uint16(r.fixed(2)) }
+func (r *reader) u32() uint32     { return binary.LittleEndian.Uint32(r.fixed(4)) }
+func (r *reader) u64() uint64     { return binary.LittleEndian.Uint64(r.fixed(8)) }
+func (r *reader) f32() float64    { return float64(math.Float32frombits(r.u32())) }
+func (r *reader) micros() float64 { return float64(r.u32()) / micro }
+
+// worker packs four bytes of address and the port into one id, in wire order.
+func (r *reader) worker() control.WorkerID {
+	b := r.fixed(6)
+	return control.WorkerID(binary.LittleEndian.Uint32(b)) | control.WorkerID(binary.LittleEndian.Uint16(b[4:]))<<32
+}
+
+// result turns an outcome code into ours.
+func (r *reader) result() control.Result {
+	switch c := r.u8(); c {
+	case 0:
+		return control.Returned
+	case 13:
+		return control.Errored
+	case 8:
+		return control.Full
+	case 4:
+		return control.TimedOut
+	case 14:
+		return control.ConnectFailed
+	case 10:
+		return control.Reset
+	case 1:
+		return control.Cancelled
+	case 9:
+		return control.Moot
+	case 5:
+		return control.Missed
+	default:
+		if r.err == nil {
+			r.err = fmt.Errorf("unknown outcome %d at byte %d", c, r.pos()-1)
+		}
+		return control.Errored
+	}
+}
+
+func (r *reader) gauge() []float64 {
+	n := int(r.u8())
+	if n == 0 {
+		return nil
+	}
+	g := make([]float64, n)
+	for i := range g {
+		g[i] = r.f32()
+	}
+	return g
+}
+
+// reply builds a reply frame; By records are put in where the acting dispatcher changes.
+type reply struct {
+	b     []byte
+	count uint32
+	who   int
+}
+
+func (r *reply) reset() { r.b, r.count, r.who = append(r.b[:0], make([]byte, replyHead)...), 0, -1 }
+
+func (r *reply) by(number uint16) {
+	if r.who != int(number) {
+		r.who = int(number)
+		r.begin(acBy)
+		r.u16(number)
+	}
+}
+
+func (r *reply) begin(code uint16) { r.count++; r.u16(code) }
+func (r *reply) u16(v uint16)      { r.b = binary.LittleEndian.AppendUint16(r.b, v) }
+func (r *reply) u32(v uint32)      { r.b = binary.LittleEndian.AppendUint32(r.b, v) }
+func (r *reply) u64(v uint64)      { r.b = binary.LittleEndian.AppendUint64(r.b, v) }
+
+func (r *reply) worker(w control.WorkerID) { r.u32(uint32(w)); r.u16(uint16(w >> 32)) }
+
+func (r *reply) micros(s float64) {
+	r.u32(uint32(math.Round(math.Min(math.Max(s*micro, 0), math.MaxUint32))))
+}
+
+func (r *reply) text(s string) {
+	s = s[:min(len(s), maxText)]
+	r.u16(uint16(len(s)))
+	r.b = append(r.b, s...)
+}
+
+func (r *reply) frame(number []byte) []byte {
+	binary.LittleEndian.PutUint32(r.b, uint32(len(r.b)))
+	binary.LittleEndian.PutUint32(r.b[4:], r.count)
+	copy(r.b[8:replyHead], number)
+	return r.b
+}
+
+// do opens an action of this dispatcher.
+func (d *dispatcher) do(code uint16) *reply {
+	d.out.by(d.number)
+	d.out.begin(code)
+	return d.out
+}
+
+// The actions, as control.Actions names them.
+
+func (d *dispatcher) Forward(id control.InferenceID, w control.WorkerID, timeout control.Seconds) {
+	o := d.do(acRelay)
+	o.u32(uint32(id))
+	o.worker(w)
+	o.micros(timeout)
+}
+
+func (d *dispatcher) Shed(id control.InferenceID, retryAfter control.Seconds) {
+	o := d.do(acReject)
+	o.u32(uint32(id))
+	o.micros(retryAfter)
+}
+
+func (d *dispatcher) Fail(id control.InferenceID) { d.do(acReportFailure).u32(uint32(id)) }
+
+func (d *dispatcher) Cancel(id control.InferenceID, forward int) {
+	o := d.do(acAbortAttempt)
+	o.u32(uint32(id))
+	o.u16(uint16(forward))
+}
+
+func (d *dispatcher) Order(w control.WorkerID, m control.ModelID, copies int) {
+	o := d.do(acEnsure)
+	o.worker(w)
+	o.u64(uint64(m))
+	o.b = append(o.b, uint8(copies))
+}
+
+func (d *dispatcher) Unload(w control.WorkerID, m control.ModelID) {
+	o := d.do(acUnmount)
+	o.worker(w)
+	o.u64(uint64(m))
+}
+
+func (d *dispatcher) Probe(w control.WorkerID)     { d.do(acPoll).worker(w) }
+func (d *dispatcher) CloseIdle(w control.WorkerID) { d.do(acDisconnect).worker(w) }
+func (d *dispatcher) FetchList()                   { d.do(acReload) }
+func (d *dispatcher) Log(text string)              { d.do(acLog).text(text) }
+
+func (d *dispatcher) Tell(to control.PeerID, note []byte) {
+	o := d.do(acMemoTo)
+	o.u16(uint16(to))
+	o.text(string(note[:min(len(note), maxNote)]))
+}
+
+func (d *dispatcher) Subscribe(on bool) {
+	o := d.do(acTail)
+	var v byte
+	if on {
+		v = 1
+	}
+	o.b = append(o.b, v)
+}
+
+func (d *dispatcher) Wake(after control.Seconds, t control.TimerID) {
+	o := d.do(acWakeAt)
+	o.micros(after)
+	o.u32(uint32(t))
+}
+
+var _ control.Actions = (*dispatcher)(nil)
