Queued work counts fellow dispatchers; new models take their group's load time

Cause: with three dispatchers each saw a third of a worker's queue; looks at all in hand came too late for the last held ones (lost).

--- a/control/control.go
+++ b/control/control.go
@@ -12,29 +12,29 @@
 )
 
 const (
-	groupLimit   = 8     // inferences ever in one open group: the paper's MAX_GPSIZE
-	firstLoad    = 2.0   // s, load time of a model before any is told or seen (design)
-	firstRun     = 0.25  // of the SLO time: run time of a model group before any answer
-	blend        = 0.1   // weight of a new answer in run and load times: some ten answers back
-	scan         = 0.02  // s between looks at all in hand: well under any SLO time, and cheap
-	endMargin    = 0.012 // s kept before the client's time is up, on top of two ticks: the answer must still travel
-	patience     = 3.0   // expected answer times until a forward counts as late: answer times spread about this wide
-	patienceSLO  = 0.5   // of the SLO time: no forward counts as late before that
-	badBlend     = 0.2   // weight of one outcome in a worker's failure share: some five back
-	badAside     = 0.3   // failure share at which a worker is set aside: two failures close together
-	badBack      = 0.15  // failure share of one taken back: a single failure sets it aside again
-	trickleFirst = 1.0   // forwards a second let through to a worker set aside
-	trickleBack  = 16.0  // trickle at which it is taken back: four doublings
-	furtherShare = 0.3   // further forwards earned by each inference taken while all of them succeed
-	furtherLeast = 0.03  // and while none does, so that success can be seen again
-	furtherMost  = 30.0  // further forwards saved up at most: a short outage of one worker
-	crowdPause   = 0.1   // s without new groups after a worker turned work away: a few of its answers
-	roomPause    = 1.0   // s without load orders of a model after one found no room
-	coldSafety   = 0.7   // of the cold budget used: the front spreads unevenly, capacity is a guess
-	rateSpan     = 5.0   // s over which own work a second is smoothed
-	askFirst     = 0.5   // s until discovery is asked again after a failed call; doubles
-	rationParts  = 16    // parts of the load order window; a part is counted whole
-	aheadOff     = 1e6   // s added to the cost of a worker tried already: taken only if there is no other
+	groupLimit   = 8    // inferences ever in one open group: the paper's MAX_GPSIZE
+	firstLoad    = 2.0  // s, load time of a model before any is told or seen (design)
+	firstRun     = 0.25 // of the SLO time: run time of a model group before any answer
+	blend        = 0.1  // weight of a new answer in run and load times: some ten answers back
+	scan         = 0.01 // s between looks at all in hand: well under any SLO time, and cheap
+	endMargin    = 0.02 // s kept before the time of the client is up, on top of two ticks: two looks at all in hand
+	patience     = 3.0  // expected answer times until a forward counts as late: answer times spread about this wide
+	patienceSLO  = 0.5  // of the SLO time: no forward counts as late before that
+	badBlend     = 0.2  // weight of one outcome in a worker's failure share: some five back
+	badAside     = 0.3  // failure share at which a worker is set aside: two failures close together
+	badBack      = 0.15 // failure share of one taken back: a single failure sets it aside again
+	trickleFirst = 1.0  // forwards a second let through to a worker set aside
+	trickleBack  = 16.0 // trickle at which it is taken back: four doublings
+	furtherShare = 0.3  // further forwards earned by each inference taken while all of them succeed
+	furtherLeast = 0.03 // and while none does, so that success can be seen again
+	furtherMost  = 30.0 // further forwards saved up at most: a short outage of one worker
+	crowdPause   = 0.1  // s without new groups after a worker turned work away: a few of its answers
+	roomPause    = 1.0  // s without load orders of a model after one found no room
+	coldSafety   = 0.7  // of the cold budget used: the front spreads unevenly, capacity is a guess
+	rateSpan     = 5.0  // s over which own work a second is smoothed
+	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
+	rationParts  = 16   // parts of the load order window; a part is counted whole
+	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
 // Dispatcher is the state of one dispatcher.
@@ -55,6 +55,7 @@
 	wakeAt  Seconds
 
 	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
+	fellows            float64 // dispatchers in all: each is taken to queue as much as we do
 	rate               float64 // own work sent a second, smoothed
 	rateAt             Seconds
 	ready, aside       int
@@ -69,6 +70,7 @@
 	d.hand.byID = map[InferenceID]int{}
 	d.further, d.furtherOK = furtherMost, 1
 	d.askAt, d.askGap = math.Inf(1), askFirst
+	d.fellows = math.Max(1, s.Num("dispatchers", 1))
 	if s.Text("discovery") == "ask" {
 		d.askAt = 0
 	}
@@ -77,12 +79,12 @@
 		g := &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
 			timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), value: s.Num(at+"value", 1),
 			late: s.Num(at+"late_value", 0)}
-		g.run = firstRun * g.slo
+		g.run, g.load = firstRun*g.slo, firstLoad
 		g.work = g.run
 		d.groups = append(d.groups, g)
 	}
 	for i := 0; i < int(s.Num("tenants", 0)); i++ {
-		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / math.Max(1, s.Num("dispatchers", 1))
+		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / d.fellows
 		d.tenants = append(d.tenants, &tenant{quota: q, level: q})
 	}
 	return d
@@ -144,7 +146,7 @@
 	r.group = d.groupOf(q.Group)
 	m := d.models[q.Model]
 	if m == nil {
-		m = &model{id: q.Model, group: r.group, run: r.group.run, load: firstLoad}
+		m = &model{id: q.Model, group: r.group, run: r.group.run, load: r.group.load}
 		m.places = make([]place, 0, len(d.workers)+8)
 		d.models[q.Model] = m
 	}
@@ -177,7 +179,7 @@
 	}
 	if len(d.groups) == 0 { // nothing told: the strictest
 		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1), run: firstRun,
-			work: firstRun, value: 1})
+			work: firstRun, load: firstLoad, value: 1})
 	}
 	return d.groups[0]
 }
@@ -256,8 +258,7 @@
 	if c := d.warmth(w); c < 1 {
 		each := r.group.work
 		seen := d.rate * math.Exp((d.rateAt-d.now)/rateSpan) / math.Max(1, float64(d.ready))
-		least := each / (d.set.Num("rules.fall_time", d.set.Num("rules.fall", 1)) *
-			math.Max(1, d.set.Num("dispatchers", 1)))
+		least := each / (d.set.Num("rules.fall", 1) * d.fellows)
 		w.coldAt = math.Max(d.now, w.coldAt) +
 			each/math.Max(least, coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
 	} else {
@@ -303,7 +304,7 @@
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			w.work+float64(pl.waiting)*r.model.run >= r.model.load || !d.may(r, w) || !d.open(r, w) {
+			(w.work+float64(pl.waiting)*r.model.run)*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -322,7 +323,7 @@
 			continue
 		}
 		pl := r.model.at(w)
-		c := (w.work+r.model.run)/d.warmth(w) + w.loads
+		c := (w.work+r.model.run)*d.fellows/d.warmth(w) + w.loads
 		if pl.warm < d.now {
 			if warmOnly || pl.noRoom > d.now {
 				continue
@@ -506,6 +507,7 @@
 		m.heard, m.load = true, took
 	}
 	m.load += blend * (took - m.load)
+	m.group.load += blend * (took - m.group.load)
 }
 
 // judge keeps a worker's failure share and sets it aside or brings it back by a trickle that doubles.
--- a/control/state.go
+++ b/control/state.go
@@ -163,6 +163,7 @@
 	late     float64
 	run      Seconds // smoothed warm answer time of its models
 	work     Seconds // smoothed mean work of an inference, for the cold budget
+	load     Seconds // smoothed load time of its models
 	answered bool
 }
 
