--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,7 @@
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	rationParts  = 16   // parts of the load order window; a part is counted whole
+	tieBand      = 0.5  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
@@ -314,33 +315,39 @@
 	return best
 }
 
-// least returns the place with least queued work, load included where no warm copy is believed; ties are random.
+// least returns the place with least queued work, load included where no warm copy is believed. Costs nearer than
+// the estimate can tell apart are ties; they go by a hash of model and worker, which all dispatchers share: so they
+// agree unasked on where a model lives, and return to where a copy or an image may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
-	var best *place
-	low, ties := math.Inf(1), 0
+	m, low := r.model, math.Inf(1)
 	for _, w := range d.workers {
+		w.cost = math.Inf(1)
 		if !d.may(r, w) || !d.open(r, w) || d.now < w.crowd {
 			continue
 		}
-		pl := r.model.at(w)
-		c := (w.work+r.model.run)*d.fellows/d.warmth(w) + w.loads
+		pl := m.at(w)
+		c := (w.work+m.run)*d.fellows/d.warmth(w) + w.loads
 		if pl.warm < d.now {
 			if warmOnly || pl.noRoom > d.now {
 				continue
 			}
-			c += r.model.load
+			c += m.load
 		}
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
-		c += w.bad * (r.model.load + r.group.slo)
+		c += w.bad * (m.load + r.group.slo)
 		if r.tried(w) {
 			c += aheadOff
 		}
-		if c < low-1e-9 {
-			best, low, ties = pl, c, 1
-		} else if c < low+1e-9 {
-			if ties++; d.rnd.below(ties) == 0 {
-				best = pl
-			}
+		w.cost, low = c, math.Min(low, c)
+	}
+	var best *place
+	var top uint64
+	for _, w := range d.workers {
+		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) {
+			continue
+		}
+		if h := mix(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID)); best == nil || h > top {
+			best, top = m.at(w), h
 		}
 	}
 	return best
--- a/control/rand.go
+++ b/control/rand.go
@@ -15,3 +15,10 @@
 
 // below returns a number from 0 to n-1.
 func (r *random) below(n int) int { return int(uint64(r.next()) * uint64(n) >> 32) }
+
+// mix spreads a number over all bits (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/control/state.go
+++ b/control/state.go
@@ -129,7 +129,7 @@
 	crowd  Seconds // turned work away; no new group until then
 	ghosts []ghost
 	coldAt Seconds // cold budget: the next forward fits then
-	silent bool
+	cost   Seconds // what the inference in hand would wait there
 	report [4]float64
 	told   Seconds // when the report came
 }
