--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	rationParts  = 16   // parts of the load order window; a part is counted whole
-	tieBand      = 0.5  // of the load time: costs nearer than that are ties
+	tieBand      = 1.0  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
