--- a/control/control.go
+++ b/control/control.go
@@ -346,7 +346,11 @@
 		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) {
 			continue
 		}
-		if h := mix(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID)); best == nil || h > top {
+		h := mix(uint64(m.id)*0x9e3779b97f4a7c15^uint64(w.ID)) >> 1
+		if m.at(w).warm >= d.now {
+			h |= 1 << 63 // a warm copy before any hash
+		}
+		if best == nil || h > top {
 			best, top = m.at(w), h
 		}
 	}
