--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,10 @@
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	rationParts  = 16   // parts of the load order window; a part is counted whole
+	widthFirst   = 8.0  // own forwards out at a worker nothing is known of
+	widthShare   = 0.5  // of the SLO time: smoothed warm answer time above which a worker has too many
+	widthCut     = 0.8  // kept of the width then
+	widthGap     = 0.3  // s between two cuts: the first must show first
 	tieBand      = 1.0  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
@@ -112,7 +116,7 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), listed: d.now, answer: d.now}
+			w = &worker{WorkerInfo: l, index: len(d.workers), listed: d.now, answer: d.now, limit: widthFirst}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -248,6 +252,9 @@
 	if d.warmth(w) < 1 && d.now < w.coldAt {
 		return false
 	}
+	if float64(w.out-w.cold) >= w.limit {
+		return false
+	}
 	if !w.aside || 2*d.aside > d.ready {
 		return true
 	}
@@ -305,7 +312,7 @@
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			(w.work+float64(pl.waiting)*r.model.run)*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) {
+			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -315,6 +322,12 @@
 	return best
 }
 
+// laneWait is the run time of own forwards ahead at a place beyond the lanes of one copy.
+func (d *Dispatcher) laneWait(pl *place) Seconds {
+	lanes := math.Max(1, pl.model.lanes)
+	return math.Max(0, float64(pl.out+1)-lanes) * pl.model.run / lanes
+}
+
 // least returns the place with least queued work, load included where no warm copy is believed. Costs nearer than
 // the estimate can tell apart are ties; they go by a hash of model and worker, which all dispatchers share: so they
 // agree unasked on where a model lives, and return to where a copy or an image may still be.
@@ -326,7 +339,7 @@
 			continue
 		}
 		pl := m.at(w)
-		c := (w.work+m.run)*d.fellows/d.warmth(w) + w.loads
+		c := (w.work+m.run+d.laneWait(pl))*d.fellows/d.warmth(w) + w.loads
 		if pl.warm < d.now {
 			if warmOnly || pl.noRoom > d.now {
 				continue
@@ -374,8 +387,10 @@
 	w, m := pl.worker, r.model
 	f := &r.forwards[r.n]
 	*f = forward{to: w, start: w.Start, sent: d.now, run: m.run, group: pl.group, expect: w.work + m.run}
+	f.laned = float64(pl.out) >= math.Max(1, m.lanes)
 	if pl.warm < d.now {
 		f.load = true
+		w.cold++
 		f.expect += m.load + w.loads
 	}
 	r.n++
@@ -449,6 +464,9 @@
 	}
 	switch o.Result {
 	case Returned:
+		if !f.load && !f.laned && (o.Found == FoundWarm || o.Found == NotTold) {
+			d.width(w, o.Took/r.group.slo)
+		}
 		d.learn(r, f, o)
 		d.judge(w, true)
 		if f.start == w.Start {
@@ -461,6 +479,7 @@
 	case Missed, Full:
 		if o.Result == Full {
 			w.crowd = d.now + crowdPause
+			d.width(w, 2*widthShare)
 		}
 		if o.Result == Missed {
 			pl.warm = math.Inf(-1)
@@ -537,6 +556,20 @@
 	}
 }
 
+// width keeps how many own forwards a worker may have out: it grows while warm answers come well within the SLO
+// time and shrinks while they do not, or work is turned away. It guards against overload, slow or shared machines
+// and queues of fellow dispatchers; it could harm where work itself is near the SLO time.
+func (d *Dispatcher) width(w *worker, share float64) {
+	w.share += blend * (share - w.share)
+	if w.share > widthShare {
+		if d.now > w.narrowed+widthGap {
+			w.limit, w.narrowed = math.Max(1, math.Min(w.limit, float64(w.out-w.cold+1))*widthCut), d.now
+		}
+	} else if float64(w.out-w.cold+1) > w.limit-1 {
+		w.limit += 1 / w.limit
+	}
+}
+
 func (d *Dispatcher) setAside(w *worker) {
 	if !w.aside {
 		w.aside, w.since = true, d.now
@@ -719,6 +752,9 @@
 				r.waits = nil
 			}
 			d.find(r)
+			if r.want == wantHold && r.waits == nil && (r.over || d.now+r.model.run > r.taken+r.group.slo) {
+				d.giveUp(r) // no room, and none in time: room goes to those that can still be in time
+			}
 			continue
 		}
 		for i := 0; i < r.n && r.want == wantOut && !r.stream; i++ {
--- a/control/state.go
+++ b/control/state.go
@@ -24,6 +24,7 @@
 	fate   fate
 	ghost  bool // its run time stays in the ledger past its outcome
 	hedged bool // a second copy was tried for it
+	laned  bool // it found all lanes taken by own forwards
 	load   bool // it carries a load not yet seen to stand
 }
 
@@ -113,25 +114,29 @@
 // worker is one worker as this dispatcher knows it.
 type worker struct {
 	WorkerInfo
-	index  int
-	listed Seconds // when its present start was first told
-	work   Seconds // run time of own forwards there
-	loads  Seconds // load times of own cold groups there
-	out    int
-	bad    float64 // smoothed share of forwards that failed for the worker's own reasons
-	slow   float64 // smoothed answer time over the expected
-	served float64 // smoothed work answered each second
-	answer Seconds // last sign of life
-	aside  bool
-	since  Seconds // set aside since
-	rate   float64 // forwards a second let through while set aside
-	next   Seconds // no forward before then while set aside
-	crowd  Seconds // turned work away; no new group until then
-	ghosts []ghost
-	coldAt Seconds // cold budget: the next forward fits then
-	cost   Seconds // what the inference in hand would wait there
-	report [4]float64
-	told   Seconds // when the report came
+	index    int
+	listed   Seconds // when its present start was first told
+	work     Seconds // run time of own forwards there
+	loads    Seconds // load times of own cold groups there
+	out      int
+	bad      float64 // smoothed share of forwards that failed for the worker's own reasons
+	slow     float64 // smoothed answer time over the expected
+	served   float64 // smoothed work answered each second
+	answer   Seconds // last sign of life
+	aside    bool
+	since    Seconds // set aside since
+	rate     float64 // forwards a second let through while set aside
+	next     Seconds // no forward before then while set aside
+	crowd    Seconds // turned work away; no new group until then
+	ghosts   []ghost
+	coldAt   Seconds // cold budget: the next forward fits then
+	cold     int     // own forwards out that wait for a load
+	limit    float64 // own forwards that may be out
+	share    float64 // smoothed warm answer time, of the SLO time
+	narrowed Seconds
+	cost     Seconds // what the inference in hand would wait there
+	report   [4]float64
+	told     Seconds // when the report came
 }
 
 // ghost is run time that stays in the ledger until its time is up.
@@ -207,6 +212,9 @@
 func (d *Dispatcher) unbook(r *inference, f *forward, pl *place) {
 	r.out--
 	f.to.out--
+	if f.load {
+		f.to.cold--
+	}
 	pl.out--
 	f.to.work = math.Max(0, f.to.work-f.run)
 	if pl.out == 0 && f.to.out == 0 {
