--- a/control/control.go
+++ b/control/control.go
@@ -252,9 +252,6 @@
 	if d.warmth(w) < 1 && d.now < w.coldAt {
 		return false
 	}
-	if float64(w.out-w.cold) >= w.limit {
-		return false
-	}
 	if !w.aside || 2*d.aside > d.ready {
 		return true
 	}
@@ -312,7 +309,7 @@
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) {
+			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) || !w.room() {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -322,10 +319,10 @@
 	return best
 }
 
-// laneWait is the run time of own forwards ahead at a place beyond the lanes of one copy.
+// laneWait is the run time of own inferences ahead, out or held for room, beyond the lanes of one copy.
 func (d *Dispatcher) laneWait(pl *place) Seconds {
 	lanes := math.Max(1, pl.model.lanes)
-	return math.Max(0, float64(pl.out+1)-lanes) * pl.model.run / lanes
+	return math.Max(0, float64(pl.out+pl.model.held+1)-lanes) * pl.model.run / lanes
 }
 
 // least returns the place with least queued work, load included where no warm copy is believed. Costs nearer than
@@ -351,12 +348,15 @@
 		if r.tried(w) {
 			c += aheadOff
 		}
+		if c > r.notAfter-d.now && !math.IsInf(r.notAfter, 1) {
+			continue // its answer would come too late for the client: no use to queue it, or begin a load
+		}
 		w.cost, low = c, math.Min(low, c)
 	}
 	var best *place
 	var top uint64
 	for _, w := range d.workers {
-		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) {
+		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) || !w.room() {
 			continue
 		}
 		h := mix(uint64(m.id)*0x9e3779b97f4a7c15^uint64(w.ID)) >> 1
@@ -372,13 +372,15 @@
 
 // hold keeps an inference here: for a place's first answer or order, or (nil) for a worker to have room.
 func (d *Dispatcher) hold(r *inference, pl *place) {
-	r.want = wantHold
 	if r.out > 0 {
 		r.want = wantOut
-		pl = nil
+		return
 	}
-	if r.waits = pl; pl != nil {
+	r.want, r.waits = wantHold, pl
+	if pl != nil {
 		pl.waiting++
+	} else {
+		r.model.held++
 	}
 }
 
@@ -420,8 +422,7 @@
 		if !r.live || r.waits != pl || r.want != wantHold {
 			continue
 		}
-		pl.waiting--
-		r.waits = nil
+		r.unhold()
 		d.touch(r)
 		switch {
 		case stands && d.may(r, pl.worker) && d.open(r, pl.worker):
@@ -436,7 +437,6 @@
 			d.find(r)
 		}
 	}
-	pl.waiting = 0
 }
 
 // Outcome takes the end of a forward.
@@ -604,10 +604,7 @@
 // giveUp answers an inference for good, at once.
 func (d *Dispatcher) giveUp(r *inference) {
 	d.touch(r)
-	if r.waits != nil {
-		r.waits.waiting--
-		r.waits = nil
-	}
+	r.unhold()
 	if r.want = wantFail; d.mayShed(r) {
 		r.want = wantShed
 	}
@@ -615,10 +612,7 @@
 
 // end notes that the final answer is given.
 func (d *Dispatcher) end(r *inference) {
-	if r.waits != nil {
-		r.waits.waiting--
-		r.waits = nil
-	}
+	r.unhold()
 	if r.want == wantForward { // never sent
 		r.n--
 		f := &r.forwards[r.n]
@@ -747,10 +741,7 @@
 				d.now < pl.since+patience*r.model.load) {
 				continue
 			}
-			if r.waits != nil {
-				r.waits.waiting--
-				r.waits = nil
-			}
+			r.unhold()
 			d.find(r)
 			if r.want == wantHold && r.waits == nil && (r.over || d.now+r.model.run > r.taken+r.group.slo) {
 				d.giveUp(r) // no room, and none in time: room goes to those that can still be in time
--- a/control/state.go
+++ b/control/state.go
@@ -31,8 +31,9 @@
 type want uint8
 
 const (
-	wantHold    want = iota // wait here
-	wantForward             // send to the worker in to
+	wantNew     want = iota
+	wantHold         // wait here
+	wantForward      // send to the worker in to
 	wantShed
 	wantFail
 	wantOut  // nothing more: a forward is out
@@ -155,6 +156,7 @@
 	timed  bool    // run time learned from an answer
 	lanes  float64
 	places []place
+	held   int // inferences held here for a worker to have room
 }
 
 // modelGroup is a model group with its settings.
@@ -224,3 +226,20 @@
 		pl.open--
 	}
 }
+
+// unhold takes an inference off the counts of those held.
+func (r *inference) unhold() {
+	if r.want != wantHold {
+		return
+	}
+	if r.waits != nil {
+		r.waits.waiting--
+		r.waits = nil
+	} else if r.model != nil {
+		r.model.held--
+	}
+	r.want = wantOut
+}
+
+// room tells whether the worker is under its width.
+func (w *worker) room() bool { return float64(w.out-w.cold) < w.limit }
