Pending loads hold up only another load; width cut only where used; ledger keeps what it booked

Causes: (1) the ledger took back a cold group's present load time instead of the one booked, so pending loads leaked; (2) that sum then barred or dearened workers with warm copies.

--- a/control/control.go
+++ b/control/control.go
@@ -36,8 +36,10 @@
 	rationParts  = 16   // parts of the load order window; a part is counted whole
 	widthFirst   = 8.0  // own forwards out at a worker nothing is known of
 	widthShare   = 0.5  // of the SLO time: smoothed warm answer time above which a worker has too many
+	widthLeast   = 2.0   // own forwards any worker may have out: one in work, one to follow
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
+	staleShare   = 0.5  // of the width: for inferences worth little by now
 	tieBand      = 1.0  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
@@ -295,8 +297,8 @@
 	pl.group++
 	pl.open, pl.count = 0, 1
 	if pl.warm < d.now && !pl.cold {
-		pl.cold, pl.since = true, d.now
-		pl.worker.loads += r.model.load
+		pl.cold, pl.since, pl.load = true, d.now, r.model.load
+		pl.worker.loads += pl.load
 	}
 	d.send(r, pl)
 }
@@ -309,7 +311,7 @@
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) || !w.room() {
+			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -319,10 +321,20 @@
 	return best
 }
 
-// laneWait is the run time of own inferences ahead, out or held for room, beyond the lanes of one copy.
+// room tells whether the worker is under its width. Inferences that can no longer be in time, or are beyond their
+// tenant's share, leave part of it to the others.
+func (d *Dispatcher) room(r *inference, w *worker) bool {
+	limit := w.limit
+	if r.over || d.now+r.model.run > r.taken+r.group.slo {
+		limit *= staleShare
+	}
+	return float64(w.out-w.cold) < limit
+}
+
+// laneWait is the run time of own forwards ahead at a place beyond the lanes of one copy.
 func (d *Dispatcher) laneWait(pl *place) Seconds {
 	lanes := math.Max(1, pl.model.lanes)
-	return math.Max(0, float64(pl.out+pl.model.held+1)-lanes) * pl.model.run / lanes
+	return math.Max(0, float64(pl.out+1)-lanes) * pl.model.run / lanes
 }
 
 // least returns the place with least queued work, load included where no warm copy is believed. Costs nearer than
@@ -336,27 +348,27 @@
 			continue
 		}
 		pl := m.at(w)
-		c := (w.work+m.run+d.laneWait(pl))*d.fellows/d.warmth(w) + w.loads
+		c := (w.work + m.run + d.laneWait(pl)) * d.fellows / d.warmth(w)
 		if pl.warm < d.now {
 			if warmOnly || pl.noRoom > d.now {
 				continue
 			}
-			c += m.load
+			// Loads run beside the work of warm copies: those pending hold up only another load.
+			if c += m.load + w.loads; d.now+w.loads > r.notAfter {
+				continue // the loads pending there outlast the client's time: another would only make them later
+			}
 		}
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
 		c += w.bad * (m.load + r.group.slo)
 		if r.tried(w) {
 			c += aheadOff
 		}
-		if c > r.notAfter-d.now && !math.IsInf(r.notAfter, 1) {
-			continue // its answer would come too late for the client: no use to queue it, or begin a load
-		}
 		w.cost, low = c, math.Min(low, c)
 	}
 	var best *place
 	var top uint64
 	for _, w := range d.workers {
-		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) || !w.room() {
+		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) || !d.room(r, w) {
 			continue
 		}
 		h := mix(uint64(m.id)*0x9e3779b97f4a7c15^uint64(w.ID)) >> 1
@@ -409,7 +421,7 @@
 func (d *Dispatcher) settled(pl *place) {
 	if pl.cold {
 		pl.cold = false
-		pl.worker.loads = math.Max(0, pl.worker.loads-pl.model.load)
+		pl.worker.loads = math.Max(0, pl.worker.loads-pl.load)
 	}
 }
 
@@ -562,8 +574,8 @@
 func (d *Dispatcher) width(w *worker, share float64) {
 	w.share += blend * (share - w.share)
 	if w.share > widthShare {
-		if d.now > w.narrowed+widthGap {
-			w.limit, w.narrowed = math.Max(1, math.Min(w.limit, float64(w.out-w.cold+1))*widthCut), d.now
+		if out := float64(w.out - w.cold + 1); d.now > w.narrowed+widthGap && out > w.limit*widthCut {
+			w.limit, w.narrowed = math.Max(widthLeast, math.Min(w.limit, out)*widthCut), d.now
 		}
 	} else if float64(w.out-w.cold+1) > w.limit-1 {
 		w.limit += 1 / w.limit
@@ -743,9 +755,6 @@
 			}
 			r.unhold()
 			d.find(r)
-			if r.want == wantHold && r.waits == nil && (r.over || d.now+r.model.run > r.taken+r.group.slo) {
-				d.giveUp(r) // no room, and none in time: room goes to those that can still be in time
-			}
 			continue
 		}
 		for i := 0; i < r.n && r.want == wantOut && !r.stream; i++ {
--- a/control/state.go
+++ b/control/state.go
@@ -109,6 +109,7 @@
 	ordered bool    // a load order is out
 	wanted  bool    // a load order is wanted
 	since   Seconds // when the order went out, or the cold group opened
+	load    Seconds // what the ledger counts for its cold group
 	noRoom  Seconds // no copy can be had there until then
 }
 
@@ -240,6 +241,3 @@
 	}
 	r.want = wantOut
 }
-
-// room tells whether the worker is under its width.
-func (w *worker) room() bool { return float64(w.out-w.cold) < w.limit }
