A worker that turns work away rests for spans that double

Guards also against full memory; could harm where full clears within tenths of a second. The module is also shortened.

--- a/control/api.go
+++ b/control/api.go
@@ -40,6 +40,9 @@
 // NeverRan tells whether the result proves that the forward did not run.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot || r == Missed }
 
+// Heard tells whether the result came from the worker itself.
+func (r Result) Heard() bool { return r == Returned || r == Errored || r == Full || r == Missed }
+
 // Found says how an inference found its model on the worker.
 type Found uint8
 
--- a/control/control.go
+++ b/control/control.go
@@ -28,15 +28,15 @@
 	furtherShare = 0.3  // further forwards earned by each inference taken while all of them succeed
 	furtherLeast = 0.03 // and while none does, so that success can be seen again
 	furtherMost  = 30.0 // further forwards saved up at most: a short outage of one worker
-	crowdPause   = 0.1  // s without new groups after a worker turned work away: a few of its answers
+	crowdPause   = 0.1  // s without new work after a worker turned work away; doubles each time until it answers
+	crowdMost    = 2.0  // s, the most of it
 	roomPause    = 1.0  // s without load orders of a model after one found no room
 	coldSafety   = 0.7  // of the cold budget used: the front spreads unevenly, capacity is a guess
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	rationParts  = 16   // parts of the load order window; a part is counted whole
 	widthFirst   = 8.0  // own forwards out at a worker nothing is known of
 	widthShare   = 0.5  // of the SLO time: smoothed warm answer time above which a worker has too many
-	widthLeast   = 2.0   // own forwards any worker may have out: one in work, one to follow
+	widthLeast   = 2.0  // own forwards any worker may have out: one in work, one to follow
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
 	staleShare   = 0.5  // of the width: for inferences worth little by now
@@ -44,52 +44,25 @@
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
-// Dispatcher is the state of one dispatcher.
-type Dispatcher struct {
-	set     Settings
-	act     Actions
-	rnd     random
-	now     Seconds
-	workers []*worker
-	known   map[WorkerID]*worker
-	models  map[ModelID]*model
-	groups  []*modelGroup
-	tenants []*tenant
-	hand    slab
-	dirty   []*inference
-	orders  []*place // wanted load orders
-	waked   bool
-	wakeAt  Seconds
-
-	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
-	fellows            float64 // dispatchers in all: each is taken to queue as much as we do
-	rate               float64 // own work sent a second, smoothed
-	rateAt             Seconds
-	ready, aside       int
-	askAt, askGap      Seconds // when discovery is asked next, and the gap after a failure
-	taken, ordered     [rationParts + 1]float64
-	part               int64
-}
-
 // New makes a dispatcher that comes up empty.
 func New(seed uint64, s Settings, a Actions) *Dispatcher {
 	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), known: map[WorkerID]*worker{}, models: map[ModelID]*model{}}
 	d.hand.byID = map[InferenceID]int{}
 	d.further, d.furtherOK = furtherMost, 1
-	d.askAt, d.askGap = math.Inf(1), askFirst
 	d.fellows = math.Max(1, s.Num("dispatchers", 1))
-	if s.Text("discovery") == "ask" {
-		d.askAt = 0
+	if d.askGap = askFirst; s.Text("discovery") != "ask" {
+		d.askAt = math.Inf(1)
 	}
 	for i := 0; i < int(s.Num("groups", 0)); i++ {
-		at := "groups." + strconv.Itoa(i) + "."
-		g := &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
-			timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), value: s.Num(at+"value", 1),
-			late: s.Num(at+"late_value", 0)}
+		g := readGroup(s, i)
 		g.run, g.load = firstRun*g.slo, firstLoad
 		g.work = g.run
 		d.groups = append(d.groups, g)
 	}
+	if len(d.groups) == 0 { // nothing told: the strictest
+		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1), run: firstRun,
+			work: firstRun, load: firstLoad, value: 1})
+	}
 	for i := 0; i < int(s.Num("tenants", 0)); i++ {
 		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / d.fellows
 		d.tenants = append(d.tenants, &tenant{quota: q, level: q})
@@ -102,13 +75,12 @@
 
 // Workers follows the list of workers. A fresh start clears all that was believed of the worker.
 func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
-	asked := d.set.Text("discovery") == "ask"
-	if kind == ListFailed {
+	switch kind {
+	case ListFailed:
 		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.set.Num("rules.ask_every", 10))
 		return
-	}
-	if asked && kind != ListCached {
-		d.askAt, d.askGap = math.Inf(1), askFirst
+	case ListChanges, ListComplete:
+		d.askGap = askFirst
 	}
 	if kind != ListChanges {
 		for _, w := range d.workers {
@@ -118,7 +90,7 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), listed: d.now, answer: d.now, limit: widthFirst}
+			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: widthFirst}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -144,13 +116,13 @@
 		}
 	}
 	d.takeBack(w)
-	w.bad, w.listed, w.crowd, w.coldAt = 0, d.now, 0, 0
+	w.bad, w.crowd, w.coldAt = 0, 0, 0
 }
 
 // Inference takes one in.
 func (d *Dispatcher) Inference(q Inference) {
 	r := d.hand.take(q.ID)
-	r.group = d.groupOf(q.Group)
+	r.group = d.groups[min(int(q.Group), len(d.groups)-1)]
 	m := d.models[q.Model]
 	if m == nil {
 		m = &model{id: q.Model, group: r.group, run: r.group.run, load: r.group.load}
@@ -175,20 +147,11 @@
 		}
 	}
 	d.further = math.Min(furtherMost, d.further+furtherLeast+(furtherShare-furtherLeast)*d.furtherOK)
-	d.turnRation()
-	d.taken[rationParts]++
-	d.find(r)
-}
-
-func (d *Dispatcher) groupOf(g GroupID) *modelGroup {
-	if int(g) < len(d.groups) {
-		return d.groups[g]
+	if span := d.set.Num("models.load_window", 0); span > 0 {
+		d.ration.count(d.now, span)
+		d.ration.taken[rationParts]++
 	}
-	if len(d.groups) == 0 { // nothing told: the strictest
-		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1), run: firstRun,
-			work: firstRun, load: firstLoad, value: 1})
-	}
-	return d.groups[0]
+	d.find(r)
 }
 
 // margin is how long before the client's time is up the final answer goes out.
@@ -464,21 +427,17 @@
 	if f.fate = fateMay; o.Result.NeverRan() {
 		f.fate = fateNever
 	}
-	if o.Result != TimedOut && o.Result != ConnectFailed && o.Result != Reset && o.Result != Cancelled && o.Result != Moot {
+	if o.Result.Heard() {
 		w.answer = d.now
 	}
 	if o.Forward > 0 && o.Result != Cancelled && o.Result != Missed {
-		ok := 0.0
+		d.furtherOK *= 1 - blend
 		if o.Result == Returned {
-			ok = 1
+			d.furtherOK += blend
 		}
-		d.furtherOK += blend * (ok - d.furtherOK)
 	}
 	switch o.Result {
 	case Returned:
-		if !f.load && !f.laned && (o.Found == FoundWarm || o.Found == NotTold) {
-			d.width(w, o.Took/r.group.slo)
-		}
 		d.learn(r, f, o)
 		d.judge(w, true)
 		if f.start == w.Start {
@@ -488,54 +447,42 @@
 		d.release(pl, true)
 		d.end(r)
 		return
-	case Missed, Full:
-		if o.Result == Full {
-			w.crowd = d.now + crowdPause
-			d.width(w, 2*widthShare)
-		}
-		if o.Result == Missed {
-			pl.warm = math.Inf(-1)
-		}
-		if o.Result == Missed && r.want != wantDone && o.Found != LoadFailed && d.order(pl) {
+	case Missed:
+		pl.warm = math.Inf(-1)
+		if r.want != wantDone && !o.Final && o.Found != LoadFailed && d.order(pl) {
 			d.hold(r, pl)
 			return
 		}
-		d.settled(pl)
-		d.release(pl, false)
+	case Full:
+		w.fulls++
+		w.crowd = d.now + math.Min(crowdPause*math.Exp2(w.fulls-1), crowdMost)
+		d.width(w, 2*widthShare)
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if o.Found == LoadFailed {
 			pl.warm = math.Inf(-1)
 		} else if o.Result != TimedOut || d.now < r.notAfter-d.margin() {
 			d.judge(w, false)
 		}
-		d.settled(pl)
-		d.release(pl, false)
-	case Cancelled, Moot:
-		d.settled(pl)
-		d.release(pl, false)
 	}
+	d.settled(pl)
+	d.release(pl, false)
 	if o.Final || r.want == wantDone {
 		d.end(r)
-		return
-	}
-	if r.out == 0 && r.want != wantHold {
+	} else if r.out == 0 && r.want != wantHold {
 		d.again(r)
 	}
 }
 
-// learn takes run and load times from an answer.
+// learn takes run and load times, and the worker's width, from an answer.
 func (d *Dispatcher) learn(r *inference, f *forward, o Outcome) {
 	m, g := r.model, r.group
 	switch {
 	case o.Found == FoundWarm || o.Found == NotTold && !f.load:
-		if !m.timed {
-			m.run, m.timed = o.Took, true
+		if !f.load && !f.laned {
+			d.width(f.to, o.Took/g.slo)
 		}
-		m.run += blend * (o.Took - m.run)
-		if !g.answered {
-			g.run, g.answered = o.Took, true
-		}
-		g.run += blend * (o.Took - g.run)
+		ease(&m.run, &m.timed, o.Took)
+		ease(&g.run, &g.timed, o.Took)
 		if r.work == 0 {
 			g.work += blend * (o.Took - g.work)
 		}
@@ -545,17 +492,23 @@
 }
 
 func (d *Dispatcher) loaded(m *model, took Seconds) {
-	if !m.heard {
-		m.heard, m.load = true, took
-	}
-	m.load += blend * (took - m.load)
+	ease(&m.load, &m.heard, took)
 	m.group.load += blend * (took - m.group.load)
 }
 
+// ease blends a new value into a smoothed one; the first stands for itself.
+func ease(x *float64, seen *bool, v float64) {
+	if !*seen {
+		*x, *seen = v, true
+	}
+	*x += blend * (v - *x)
+}
+
 // judge keeps a worker's failure share and sets it aside or brings it back by a trickle that doubles.
 func (d *Dispatcher) judge(w *worker, ok bool) {
 	if ok {
 		w.bad -= badBlend * w.bad
+		w.fulls = 0
 		if w.aside {
 			if w.rate *= 2; w.rate >= trickleBack {
 				d.takeBack(w)
@@ -584,7 +537,7 @@
 
 func (d *Dispatcher) setAside(w *worker) {
 	if !w.aside {
-		w.aside, w.since = true, d.now
+		w.aside = true
 		d.aside++
 	}
 	w.rate, w.next = trickleFirst, d.now+1/trickleFirst
@@ -657,7 +610,7 @@
 		return true
 	}
 	if !d.set.Is("models.orders") || d.set.Text("models.on_miss") != "miss" || pl.noRoom > d.now ||
-		pl.worker.State != Ready || !d.ration() {
+		pl.worker.State != Ready || d.rationed() {
 		return false
 	}
 	pl.wanted = true
@@ -665,38 +618,18 @@
 	return true
 }
 
-// turnRation moves the parts of the load order window on.
-func (d *Dispatcher) turnRation() {
+// rationed spends one load order where a limit is stated (rule 5).
+func (d *Dispatcher) rationed() bool {
 	span := d.set.Num("models.load_window", 0)
 	if span <= 0 {
-		return
-	}
-	for now := int64(d.now / span * rationParts); d.part < now; d.part++ {
-		copy(d.taken[:], d.taken[1:])
-		copy(d.ordered[:], d.ordered[1:])
-		d.taken[rationParts], d.ordered[rationParts] = 0, 0
-		if now-d.part > rationParts+1 {
-			d.part = now - rationParts - 1
-		}
+		return false
 	}
-}
-
-// ration spends one load order where a limit is stated (rule 5): the oldest part counts for orders, not for takings.
-func (d *Dispatcher) ration() bool {
-	if d.set.Num("models.load_window", 0) <= 0 {
+	sent, taken := d.ration.count(d.now, span)
+	if sent+1 > d.set.Num("models.load_few", 0)+d.set.Num("models.load_share", 0)*taken {
 		return true
 	}
-	d.turnRation()
-	sent, took := 1+d.ordered[0], 0.0
-	for i := 1; i <= rationParts; i++ {
-		sent += d.ordered[i]
-		took += d.taken[i]
-	}
-	if sent > d.set.Num("models.load_few", 0)+d.set.Num("models.load_share", 0)*took {
-		return false
-	}
-	d.ordered[rationParts]++
-	return true
+	d.ration.sent[rationParts]++
+	return false
 }
 
 // Ordered takes the answer to a load order.
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,9 @@
 package control
 
-import "math"
+import (
+	"math"
+	"strconv"
+)
 
 // maxForwards is how many forwards one record can hold.
 const maxForwards = 8
@@ -22,7 +25,6 @@
 	run    Seconds // what the ledger counts for it
 	group  uint32  // which open group of the place it joined
 	fate   fate
-	ghost  bool // its run time stays in the ledger past its outcome
 	hedged bool // a second copy was tried for it
 	laned  bool // it found all lanes taken by own forwards
 	load   bool // it carries a load not yet seen to stand
@@ -117,34 +119,22 @@
 type worker struct {
 	WorkerInfo
 	index    int
-	listed   Seconds // when its present start was first told
 	work     Seconds // run time of own forwards there
 	loads    Seconds // load times of own cold groups there
 	out      int
 	bad      float64 // smoothed share of forwards that failed for the worker's own reasons
-	slow     float64 // smoothed answer time over the expected
-	served   float64 // smoothed work answered each second
 	answer   Seconds // last sign of life
 	aside    bool
-	since    Seconds // set aside since
 	rate     float64 // forwards a second let through while set aside
 	next     Seconds // no forward before then while set aside
 	crowd    Seconds // turned work away; no new group until then
-	ghosts   []ghost
 	coldAt   Seconds // cold budget: the next forward fits then
 	cold     int     // own forwards out that wait for a load
 	limit    float64 // own forwards that may be out
 	share    float64 // smoothed warm answer time, of the SLO time
+	fulls    float64 // times it turned work away since it last answered
 	narrowed Seconds
 	cost     Seconds // what the inference in hand would wait there
-	report   [4]float64
-	told     Seconds // when the report came
-}
-
-// ghost is run time that stays in the ledger until its time is up.
-type ghost struct {
-	until Seconds
-	run   Seconds
 }
 
 // model is one model: its estimates and its places, by worker index.
@@ -162,17 +152,17 @@
 
 // modelGroup is a model group with its settings.
 type modelGroup struct {
-	effect   string
-	scope    string
-	slo      Seconds
-	timeout  Seconds
-	window   Seconds
-	value    float64
-	late     float64
-	run      Seconds // smoothed warm answer time of its models
-	work     Seconds // smoothed mean work of an inference, for the cold budget
-	load     Seconds // smoothed load time of its models
-	answered bool
+	effect  string
+	scope   string
+	slo     Seconds
+	timeout Seconds
+	window  Seconds
+	value   float64
+	late    float64
+	run     Seconds // smoothed warm answer time of its models
+	work    Seconds // smoothed mean work of an inference, for the cold budget
+	load    Seconds // smoothed load time of its models
+	timed   bool
 }
 
 // tenant counts one tenant's traffic against its share.
@@ -241,3 +231,63 @@
 	}
 	r.want = wantOut
 }
+
+// Dispatcher is the state of one dispatcher.
+type Dispatcher struct {
+	set     Settings
+	act     Actions
+	rnd     random
+	now     Seconds
+	workers []*worker
+	known   map[WorkerID]*worker
+	models  map[ModelID]*model
+	groups  []*modelGroup
+	tenants []*tenant
+	hand    slab
+	dirty   []*inference
+	orders  []*place // wanted load orders
+	waked   bool
+
+	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
+	fellows            float64 // dispatchers in all: each is taken to queue as much as we do
+	rate               float64 // own work sent a second, smoothed
+	rateAt             Seconds
+	ready, aside       int
+	askAt, askGap      Seconds // when discovery is asked next, and the gap after a failure
+	ration             ration
+}
+
+// rationParts is how many parts the window of load orders is counted in; a part is counted whole.
+const rationParts = 16
+
+// ration counts load orders sent and inferences taken over a sliding window.
+type ration struct {
+	sent, taken [rationParts + 1]float64
+	part        int64
+}
+
+// count moves the window on and returns what is in it: the oldest part, of which some has left the window already,
+// counts for orders and not for takings, so that the count errs to the strict side.
+func (c *ration) count(now, span Seconds) (sent, taken float64) {
+	at := int64(now / span * rationParts)
+	for c.part = max(c.part, at-rationParts-1); c.part < at; c.part++ {
+		copy(c.sent[:], c.sent[1:])
+		copy(c.taken[:], c.taken[1:])
+		c.sent[rationParts], c.taken[rationParts] = 0, 0
+	}
+	for i := range c.sent {
+		sent += c.sent[i]
+		if i > 0 {
+			taken += c.taken[i]
+		}
+	}
+	return sent, taken
+}
+
+// readGroup reads one model group of the settings.
+func readGroup(s Settings, i int) *modelGroup {
+	at := "groups." + strconv.Itoa(i) + "."
+	return &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
+		timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), value: s.Num(at+"value", 1),
+		late: s.Num(at+"late_value", 0)}
+}
