--- a/control/api.go
+++ b/control/api.go
@@ -1,5 +1,5 @@
-// Package control decides where each inference goes. This file is its interface: ids, the events a host feeds
-// in, the settings, and the actions that come out. The decisions stand in control.go.
+// Package control decides where each inference goes. This file is its interface: ids, the events a host
+// feeds in, the settings, and the actions that come out. The decisions stand in control.go.
 package control
 
 // Times and spans are seconds with fractions, counted from the dispatcher's own start.
@@ -84,7 +84,8 @@
 	ListFailed
 )
 
-// Inference is a client's call as it comes in. NotAfter is +Inf where not told; Work and Load are 0 where not told.
+// Inference is a client's call as it comes in. NotAfter is +Inf where not told; Work and Load are 0 where
+// not told.
 type Inference struct {
 	ID       InferenceID
 	Model    ModelID
@@ -98,7 +99,8 @@
 	Repeat   bool
 }
 
-// Outcome tells how one forward ended. Crowd is the count of same-model inferences the worker held, -1 if not told.
+// Outcome tells how one forward ended. Crowd is the count of same-model inferences the worker held, -1 if
+// not told.
 type Outcome struct {
 	ID      InferenceID
 	Forward int
@@ -145,8 +147,8 @@
 	Log(text string)
 }
 
-// Module is a dispatcher as its host drives it: At sets the clock, then the events of that moment in order of
-// arrival, then Settle, which emits what follows from them.
+// Module is a dispatcher as its host drives it: At sets the clock, then the events of that moment in order
+// of arrival, then Settle, which emits what follows from them.
 type Module interface {
 	At(now Seconds)
 	Workers(kind ListKind, version uint32, list []WorkerInfo)
--- a/control/control.go
+++ b/control/control.go
@@ -1,13 +1,14 @@
-// The decision module: one Dispatcher for each dispatcher process, made by New and driven through the interface
-// Module of api.go (At, then the events of that moment, then Settle). It acts only on its settings and on those
-// events, and only through Actions. Handlers change the wanted state: what each inference in hand should be (held,
-// out, shed, failed), which load orders and which timer should be out. settle alone works out the difference to what
-// is out already and emits it. The ordinary path is docs/design.md's: join an open group, else open one at the
-// worker with least queued work.
+// The decision module: one Dispatcher for each dispatcher process, made by New and driven through the
+// interface Module of api.go (At, then the events of that moment, then Settle). It acts only on its
+// settings and on those events, and only through Actions. Handlers change the wanted state: what each
+// inference in hand should be (held, out, shed, failed), which load orders and which timer should be out.
+// settle alone works out the difference to what is out already and emits it. The ordinary path is
+// docs/design.md's: join an open group, else open one at the worker with least queued work.
 package control
 
 import (
 	"math"
+	"slices"
 	"strconv"
 )
 
@@ -17,8 +18,8 @@
 	firstRun     = 0.25 // of the SLO time: run time of a model group before any answer
 	blend        = 0.1  // weight of a new answer in run and load times: some ten answers back
 	scan         = 0.01 // s between looks at all in hand: well under any SLO time, and cheap
-	endMargin    = 0.02 // s kept before the time of the client is up, on top of two ticks: two looks at all in hand
-	patience     = 3.0  // expected answer times until a forward counts as late: answer times spread about this wide
+	endMargin    = 0.02 // s kept of the client's time, on top of two ticks: two looks at all in hand
+	patience     = 3.0  // expected answer times until a forward is late: answer times spread about as wide
 	patienceSLO  = 0.5  // of the SLO time: no forward counts as late before that
 	badBlend     = 0.2  // weight of one outcome in a worker's failure share: some five back
 	badAside     = 0.3  // failure share at which a worker is set aside: two failures close together
@@ -28,7 +29,7 @@
 	furtherShare = 0.3  // further forwards earned by each inference taken while all of them succeed
 	furtherLeast = 0.03 // and while none does, so that success can be seen again
 	furtherMost  = 30.0 // further forwards saved up at most: a short outage of one worker
-	crowdPause   = 0.1  // s without new work after a worker turned work away; doubles each time until it answers
+	crowdPause   = 0.1  // s without new work after a worker turned some away; doubles until it answers
 	crowdMost    = 2.0  // s, the most of it
 	roomPause    = 1.0  // s without load orders of a model after one found no room
 	coldSafety   = 0.7  // of the cold budget used: the front spreads unevenly, capacity is a guess
@@ -46,8 +47,8 @@
 
 // New makes a dispatcher that comes up empty.
 func New(seed uint64, s Settings, a Actions) *Dispatcher {
-	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), known: map[WorkerID]*worker{}, models: map[ModelID]*model{}}
-	d.hand.byID = map[InferenceID]int{}
+	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
+	d.known, d.hand.byID = map[WorkerID]*worker{}, map[InferenceID]int{}
 	d.further, d.furtherOK = furtherMost, 1
 	d.fellows = math.Max(1, s.Num("dispatchers", 1))
 	if d.askGap = askFirst; s.Text("discovery") != "ask" {
@@ -60,8 +61,8 @@
 		d.groups = append(d.groups, g)
 	}
 	if len(d.groups) == 0 { // nothing told: the strictest
-		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1), run: firstRun,
-			work: firstRun, load: firstLoad, value: 1})
+		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1),
+			run: firstRun, work: firstRun, load: firstLoad, value: 1})
 	}
 	for i := 0; i < int(s.Num("tenants", 0)); i++ {
 		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / d.fellows
@@ -157,48 +158,33 @@
 // margin is how long before the client's time is up the final answer goes out.
 func (d *Dispatcher) margin() Seconds { return endMargin + 2*d.set.Num("tick", 0.001) }
 
-// may tells whether the rules let this inference go to this worker now (rules 1 to 3 and the count of forwards).
+// may tells whether the rules let this inference go to this worker now (rules 1 to 3 and the count of
+// forwards).
 func (d *Dispatcher) may(r *inference, w *worker) bool {
 	if w.State != Ready || d.now >= r.notAfter-d.margin() || r.stream ||
 		r.n >= min(maxForwards, int(d.set.Num("limits.max_forwards", 1))) ||
 		r.out > 0 && !d.set.Is("limits.second_copies") {
 		return false
 	}
-	if r.group.effect == "retriable" {
+	f := r.mayHaveRun() // the earliest one binds; the later ones kept to its scope
+	if f == nil || r.group.effect == "retriable" {
 		return true
 	}
-	for i := range r.forwards[:r.n] {
-		f := &r.forwards[i]
-		if f.fate == fateNever {
-			continue
-		}
-		if r.group.effect != "deduped" || d.now > f.sent+r.group.window-d.margin() {
-			return false
-		}
-		switch r.group.scope { // the earliest one that may have run binds; the later ones kept to its scope
-		case "all":
-		case "zone":
-			return f.to.Zone == w.Zone
-		case "cell":
-			return f.to.Cell == w.Cell && f.to.Zone == w.Zone
-		default:
-			return false
-		}
-		return true
-	}
-	return true
+	scope := r.group.scope
+	return d.repeatable(r, f) && (scope == "all" || f.to.Zone == w.Zone &&
+		(scope == "zone" || scope == "cell" && f.to.Cell == w.Cell))
+}
+
+// repeatable tells whether a repeat of a forward that may have run is still dropped within its scope.
+func (d *Dispatcher) repeatable(r *inference, f *forward) bool {
+	return r.group.effect == "deduped" && d.now <= f.sent+r.group.window-d.margin()
 }
 
 // mayShed tells whether the client may be told that trying again is harmless (rule 2).
 func (d *Dispatcher) mayShed(r *inference) bool {
-	for i := range r.forwards[:r.n] {
-		f := &r.forwards[i]
-		if f.fate != fateNever && r.group.effect != "retriable" && (r.group.effect != "deduped" ||
-			r.group.scope != "all" || d.now > f.sent+r.group.window-d.margin()) {
-			return false
-		}
-	}
-	return !r.stream
+	f := r.mayHaveRun()
+	return !r.stream && (f == nil || r.group.effect == "retriable" ||
+		r.group.scope == "all" && d.repeatable(r, f))
 }
 
 // warmth is the share of its capacity a worker is sure to have since its start (rule 4).
@@ -210,9 +196,9 @@
 	return 1
 }
 
-// open tells whether a worker takes a forward now. It guards cold workers (rule 4: forwards are spaced so that no
-// span holds more than our share of the budget) and lets a trickle through to those set aside; where most look bad
-// at once the cause is likely shared, and none counts as set aside.
+// open tells whether a worker takes a forward now. It guards cold workers (rule 4: forwards are spaced so
+// that no span holds more than our share of the budget) and lets a trickle through to those set aside;
+// where most look bad at once the cause is likely shared, and none counts as set aside.
 func (d *Dispatcher) open(r *inference, w *worker) bool {
 	if d.warmth(w) < 1 && d.now < w.coldAt {
 		return false
@@ -240,7 +226,8 @@
 	}
 }
 
-// find places an inference: into an open group, into a new one, or it is held until there is a worker for it.
+// find places an inference: into an open group, into a new one, or it is held until there is a worker for
+// it.
 func (d *Dispatcher) find(r *inference) {
 	d.touch(r)
 	if pl := d.join(r); pl != nil {
@@ -266,15 +253,16 @@
 	d.send(r, pl)
 }
 
-// join returns the place with an open group that this inference may join: under the limit, and own requests there
-// take less than a load would; of several, where they take least.
+// join returns the place with an open group that this inference may join: under the limit, and own
+// requests there take less than a load would; of several, where they take least.
 func (d *Dispatcher) join(r *inference) *place {
 	var best *place
 	for i := range r.model.places {
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
+			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load ||
+			!d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -284,8 +272,8 @@
 	return best
 }
 
-// room tells whether the worker is under its width. Inferences that can no longer be in time, or are beyond their
-// tenant's share, leave part of it to the others.
+// room tells whether the worker is under its width. Inferences that can no longer be in time, or are
+// beyond their tenant's share, leave part of it to the others.
 func (d *Dispatcher) room(r *inference, w *worker) bool {
 	limit := w.limit
 	if r.over || d.now+r.model.run > r.taken+r.group.slo {
@@ -300,9 +288,10 @@
 	return math.Max(0, float64(pl.out+1)-lanes) * pl.model.run / lanes
 }
 
-// least returns the place with least queued work, load included where no warm copy is believed. Costs nearer than
-// the estimate can tell apart are ties; they go by a hash of model and worker, which all dispatchers share: so they
-// agree unasked on where a model lives, and return to where a copy or an image may still be.
+// least returns the place with least queued work, load included where no warm copy is believed. Costs
+// nearer than the estimate can tell apart are ties; they go by a hash of model and worker, which all
+// dispatchers share: so they agree unasked on where a model lives, and return to where a copy or an image
+// may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low := r.model, math.Inf(1)
 	for _, w := range d.workers {
@@ -318,7 +307,7 @@
 			}
 			// Loads run beside the work of warm copies: those pending hold up only another load.
 			if c += m.load + w.loads; d.now+w.loads > r.notAfter {
-				continue // the loads pending there outlast the client's time: another would only make them later
+				continue // the loads pending there outlast the client's time
 			}
 		}
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
@@ -345,20 +334,6 @@
 	return best
 }
 
-// hold keeps an inference here: for a place's first answer or order, or (nil) for a worker to have room.
-func (d *Dispatcher) hold(r *inference, pl *place) {
-	if r.out > 0 {
-		r.want = wantOut
-		return
-	}
-	r.want, r.waits = wantHold, pl
-	if pl != nil {
-		pl.waiting++
-	} else {
-		r.model.held++
-	}
-}
-
 // send wants a forward to a place and books it in the ledger.
 func (d *Dispatcher) send(r *inference, pl *place) {
 	w, m := pl.worker, r.model
@@ -380,14 +355,6 @@
 	d.spend(r, w)
 }
 
-// settled notes that a place's cold group has its first answer.
-func (d *Dispatcher) settled(pl *place) {
-	if pl.cold {
-		pl.cold = false
-		pl.worker.loads = math.Max(0, pl.worker.loads-pl.load)
-	}
-}
-
 // release lets those held for a place go: to it where a copy stands there, else anew.
 func (d *Dispatcher) release(pl *place, stands bool) {
 	if pl.waiting == 0 {
@@ -399,15 +366,15 @@
 		}
 		r.unhold()
 		d.touch(r)
+		other := pl
+		if !stands && r.n > 0 { // it has missed there: to a warm worker, or back to the client
+			other = d.least(r, true)
+		}
 		switch {
-		case stands && d.may(r, pl.worker) && d.open(r, pl.worker):
-			d.send(r, pl)
-		case !stands && r.n > 0: // it has missed there: to a warm worker, or back to the client
-			if other := d.least(r, true); other != nil {
-				d.send(r, other)
-			} else {
-				d.giveUp(r)
-			}
+		case other == nil:
+			d.giveUp(r)
+		case (stands || other != pl) && d.may(r, other.worker) && d.open(r, other.worker):
+			d.send(r, other)
 		default:
 			d.find(r)
 		}
@@ -481,8 +448,8 @@
 		if !f.load && !f.laned {
 			d.width(f.to, o.Took/g.slo)
 		}
-		ease(&m.run, &m.timed, o.Took)
-		ease(&g.run, &g.timed, o.Took)
+		ease(&m.run, &m.timed, o.Took, blend)
+		ease(&g.run, &g.timed, o.Took, blend)
 		if r.work == 0 {
 			g.work += blend * (o.Took - g.work)
 		}
@@ -492,18 +459,10 @@
 }
 
 func (d *Dispatcher) loaded(m *model, took Seconds) {
-	ease(&m.load, &m.heard, took)
+	ease(&m.load, &m.heard, took, blend)
 	m.group.load += blend * (took - m.group.load)
 }
 
-// ease blends a new value into a smoothed one; the first stands for itself.
-func ease(x *float64, seen *bool, v float64) {
-	if !*seen {
-		*x, *seen = v, true
-	}
-	*x += blend * (v - *x)
-}
-
 // judge keeps a worker's failure share and sets it aside or brings it back by a trickle that doubles.
 func (d *Dispatcher) judge(w *worker, ok bool) {
 	if ok {
@@ -521,9 +480,9 @@
 	}
 }
 
-// width keeps how many own forwards a worker may have out: it grows while warm answers come well within the SLO
-// time and shrinks while they do not, or work is turned away. It guards against overload, slow or shared machines
-// and queues of fellow dispatchers; it could harm where work itself is near the SLO time.
+// width keeps how many own forwards a worker may have out: it grows while warm answers come well within
+// the SLO time and shrinks while they do not, or work is turned away. It guards against overload, slow or
+// shared machines and queues of fellow dispatchers; it could harm where work itself is near the SLO time.
 func (d *Dispatcher) width(w *worker, share float64) {
 	w.share += blend * (share - w.share)
 	if w.share > widthShare {
@@ -552,18 +511,12 @@
 
 // again makes a further forward where the model group, the rules and the success of recent ones allow.
 func (d *Dispatcher) again(r *inference) {
-	allowed := false
-	for _, w := range d.workers {
-		allowed = allowed || d.may(r, w)
-	}
-	if !allowed || d.further < 1 {
-		if r.out == 0 {
-			d.giveUp(r)
-		}
-		return
+	if d.further >= 1 && slices.ContainsFunc(d.workers, func(w *worker) bool { return d.may(r, w) }) {
+		d.further--
+		d.find(r)
+	} else if r.out == 0 {
+		d.giveUp(r)
 	}
-	d.further--
-	d.find(r)
 }
 
 // giveUp answers an inference for good, at once.
@@ -610,28 +563,21 @@
 		return true
 	}
 	if !d.set.Is("models.orders") || d.set.Text("models.on_miss") != "miss" || pl.noRoom > d.now ||
-		pl.worker.State != Ready || d.rationed() {
+		pl.worker.State != Ready {
 		return false
 	}
+	if span := d.set.Num("models.load_window", 0); span > 0 { // rule 5
+		sent, taken := d.ration.count(d.now, span)
+		if sent+1 > d.set.Num("models.load_few", 0)+d.set.Num("models.load_share", 0)*taken {
+			return false
+		}
+		d.ration.sent[rationParts]++
+	}
 	pl.wanted = true
 	d.orders = append(d.orders, pl)
 	return true
 }
 
-// rationed spends one load order where a limit is stated (rule 5).
-func (d *Dispatcher) rationed() bool {
-	span := d.set.Num("models.load_window", 0)
-	if span <= 0 {
-		return false
-	}
-	sent, taken := d.ration.count(d.now, span)
-	if sent+1 > d.set.Num("models.load_few", 0)+d.set.Num("models.load_share", 0)*taken {
-		return true
-	}
-	d.ration.sent[rationParts]++
-	return false
-}
-
 // Ordered takes the answer to a load order.
 func (d *Dispatcher) Ordered(o OrderResult) {
 	w, m := d.known[o.Worker], d.models[o.Model]
@@ -674,7 +620,7 @@
 // look goes over all in hand: time-outs, late forwards, and those held for a worker to have room.
 func (d *Dispatcher) look() {
 	for _, r := range d.hand.all {
-		if !r.live || r.want == wantDone || r.want == wantShed || r.want == wantFail || r.want == wantForward {
+		if !r.live || r.want != wantHold && r.want != wantOut {
 			continue
 		}
 		if d.now >= r.notAfter-d.margin() && !r.stream {
@@ -682,8 +628,8 @@
 			continue
 		}
 		if r.want == wantHold {
-			if pl := r.waits; pl != nil && pl.worker.State == Ready && !pl.worker.aside && (pl.ordered || pl.wanted ||
-				d.now < pl.since+patience*r.model.load) {
+			if pl := r.waits; pl != nil && pl.worker.State == Ready && !pl.worker.aside &&
+				(pl.ordered || pl.wanted || d.now < pl.since+patience*r.model.load) {
 				continue
 			}
 			r.unhold()
@@ -698,11 +644,12 @@
 	}
 }
 
-// late answers silence: a forward far past its expected time gets a second copy where the model group allows one, and
-// its worker, if nothing at all was heard from it since, is set aside.
+// late answers silence: a forward far past its expected time gets a second copy where the model group
+// allows one, and its worker, if nothing at all was heard from it since, is set aside.
 func (d *Dispatcher) late(r *inference, f *forward, i int) {
 	age := d.now - f.sent
-	if age < math.Max(patience*f.expect, patienceSLO*r.group.slo) && f.to.State == Ready && f.to.Start == f.start {
+	if age < math.Max(patience*f.expect, patienceSLO*r.group.slo) && f.to.State != Gone &&
+		f.to.Start == f.start {
 		return
 	}
 	f.hedged = true
--- a/control/state.go
+++ b/control/state.go
@@ -42,7 +42,8 @@
 	wantDone // its final answer is given
 )
 
-// inference is one in hand: its record lives in the slab until its final answer is given and no forward is out.
+// inference is one in hand: its record lives in the slab until its final answer is given and no forward is
+// out.
 type inference struct {
 	id       InferenceID
 	model    *model
@@ -97,7 +98,8 @@
 	s.free = append(s.free, r.place)
 }
 
-// place is what this dispatcher knows of one model on one worker: its open group and its belief in a warm copy.
+// place is what this dispatcher knows of one model on one worker: its open group and its belief in a warm
+// copy.
 type place struct {
 	worker  *worker
 	model   *model
@@ -266,8 +268,8 @@
 	part        int64
 }
 
-// count moves the window on and returns what is in it: the oldest part, of which some has left the window already,
-// counts for orders and not for takings, so that the count errs to the strict side.
+// count moves the window on and returns what is in it: the oldest part, of which some has left the window
+// already, counts for orders and not for takings, so that the count errs to the strict side.
 func (c *ration) count(now, span Seconds) (sent, taken float64) {
 	at := int64(now / span * rationParts)
 	for c.part = max(c.part, at-rationParts-1); c.part < at; c.part++ {
@@ -291,3 +293,43 @@
 		timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), value: s.Num(at+"value", 1),
 		late: s.Num(at+"late_value", 0)}
 }
+
+// mayHaveRun returns the earliest forward that may have run or is still out, nil if there is none.
+func (r *inference) mayHaveRun() *forward {
+	for i := range r.forwards[:r.n] {
+		if r.forwards[i].fate != fateNever {
+			return &r.forwards[i]
+		}
+	}
+	return nil
+}
+
+// ease blends a new value into a smoothed one; the first stands for itself.
+func ease(x *float64, seen *bool, v, weight float64) {
+	if !*seen {
+		*x, *seen = v, true
+	}
+	*x += weight * (v - *x)
+}
+
+// settled notes that a place's cold group has its first answer.
+func (d *Dispatcher) settled(pl *place) {
+	if pl.cold {
+		pl.cold = false
+		pl.worker.loads = math.Max(0, pl.worker.loads-pl.load)
+	}
+}
+
+// hold keeps an inference here: for a place's first answer or order, or (nil) for a worker to have room.
+func (d *Dispatcher) hold(r *inference, pl *place) {
+	if r.out > 0 {
+		r.want = wantOut
+		return
+	}
+	r.want, r.waits = wantHold, pl
+	if pl != nil {
+		pl.waiting++
+	} else {
+		r.model.held++
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,6 @@
-// Package wire speaks the simulator's wire: it reads batches of events for many dispatchers, drives one control.Module
-// for each, and writes their actions. It decides nothing and shares nothing between dispatchers.
+// Package wire speaks the simulator's wire: it reads batches of events for many dispatchers, drives one
+// control.Module for each, and writes their actions. It decides nothing and shares nothing between
+// dispatchers.
 package wire
 
 import (
@@ -169,7 +170,8 @@
 // span returns a clock time as seconds since the dispatcher's start.
 func (d *dispatcher) span(clock uint64) float64 { return float64(int64(clock-d.origin)) / micro }
 
-// event decodes one event and hands it to its module. Events for a dispatcher that is not up are read and passed over.
+// event decodes one event and hands it to its module. Events for a dispatcher that is not up are read and
+// passed over.
 func (h *host) event(rd *reader, code, number uint16, clock uint64) error {
 	if code == evBegin {
 		seed := rd.u64()
@@ -255,11 +257,14 @@
 	return rd.err
 }
 
+var listKinds = map[uint8]control.ListKind{
+	0: control.ListChanges, 1: control.ListFailed, 3: control.ListCached, 4: control.ListComplete,
+}
+
 // members decodes a list of workers.
 func (h *host) members(rd *reader, d *dispatcher, play func(func(control.Module))) error {
-	kinds := map[uint8]control.ListKind{0: control.ListChanges, 4: control.ListComplete, 3: control.ListCached, 1: control.ListFailed}
 	how := rd.u8()
-	kind, ok := kinds[how]
+	kind, ok := listKinds[how]
 	if !ok && rd.err == nil {
 		return fmt.Errorf("unknown list kind %d", how)
 	}
@@ -296,7 +301,8 @@
 	}
 }
 
-// reader takes fields off a frame; the first one that does not fit sets err, and all later ones read as zero.
+// reader takes fields off a frame; the first one that does not fit sets err, and all later ones read as
+// zero.
 type reader struct {
 	b    []byte
 	i    int
