--- a/control/control.go
+++ b/control/control.go
@@ -638,22 +638,22 @@
 		}
 		for i := 0; i < r.n && r.want == wantOut && !r.stream; i++ {
 			if f := &r.forwards[i]; f.fate == fateOut && !f.hedged {
-				d.late(r, f, i)
+				d.late(r, f)
 			}
 		}
 	}
 }
 
-// late answers silence: a forward far past its expected time gets a second copy where the model group
-// allows one, and its worker, if nothing at all was heard from it since, is set aside.
-func (d *Dispatcher) late(r *inference, f *forward, i int) {
-	age := d.now - f.sent
-	if age < math.Max(patience*f.expect, patienceSLO*r.group.slo) && f.to.State != Gone &&
-		f.to.Start == f.start {
+// late answers silence: where nothing at all was heard from a worker since a forward that is far past its
+// expected time, or the worker is gone or new, it is set aside, and the forward gets a second copy where
+// the model group allows one. A worker that answers others is left to finish: the inference is just heavy.
+func (d *Dispatcher) late(r *inference, f *forward) {
+	lost := f.to.State == Gone || f.to.Start != f.start
+	if !lost && (f.to.answer > f.sent || d.now-f.sent < math.Max(patience*f.expect, patienceSLO*r.group.slo)) {
 		return
 	}
 	f.hedged = true
-	if f.to.answer < f.sent {
+	if !lost {
 		d.setAside(f.to)
 	}
 	if d.set.Is("limits.second_copies") {
