--- a/control/control.go
+++ b/control/control.go
@@ -40,7 +40,7 @@
 	widthLeast   = 2.0  // own forwards any worker may have out: one in work, one to follow
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
-	staleShare   = 0.5  // of the width: for inferences worth little by now
+	staleShare   = 0.25 // of the width: for inferences worth little by now
 	tieBand      = 1.0  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
@@ -135,6 +135,7 @@
 	}
 	m.lanes = q.Lanes
 	r.model, r.taken, r.work = m, d.now, q.Work
+	r.repeat = q.Repeat
 	r.notAfter = math.Min(q.NotAfter, d.now+r.group.timeout)
 	if q.Work > 0 {
 		r.group.work += blend * (q.Work - r.group.work)
@@ -276,7 +277,7 @@
 // beyond their tenant's share, leave part of it to the others.
 func (d *Dispatcher) room(r *inference, w *worker) bool {
 	limit := w.limit
-	if r.over || d.now+r.model.run > r.taken+r.group.slo {
+	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
 		limit *= staleShare
 	}
 	return float64(w.out-w.cold) < limit
--- a/control/state.go
+++ b/control/state.go
@@ -63,6 +63,7 @@
 	live     bool
 	dirty    bool
 	stream   bool
+	repeat   bool // the client asked before, so the SLO time is hardly to be kept
 	over     bool // beyond its tenant's share
 }
 
