--- a/control/control.go
+++ b/control/control.go
@@ -35,9 +35,9 @@
 	coldSafety   = 0.7  // of the cold budget used: the front spreads unevenly, capacity is a guess
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	widthFirst   = 8.0  // own forwards out at a worker nothing is known of
+	widthFirst   = 8.0  // forwards of all dispatchers out at a worker nothing is known of
 	widthShare   = 0.5  // of the SLO time: smoothed warm answer time above which a worker has too many
-	widthLeast   = 2.0  // own forwards any worker may have out: one in work, one to follow
+	widthLeast   = 1.0  // own forwards any worker may have out
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
 	staleShare   = 0.25 // of the width: for inferences worth little by now
@@ -91,7 +91,7 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: widthFirst}
+			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: math.Max(widthLeast, widthFirst/d.fellows)}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
