Fellows' work at a worker is taken as our own there over time

Cause: with many dispatchers one own forward out counted as many, so new groups opened at cold workers.

--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,7 @@
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
 	staleShare   = 0.25 // of the width: for inferences worth little by now
+	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
 	tieBand      = 1.0  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
@@ -262,7 +263,7 @@
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			(w.work+float64(pl.waiting)*r.model.run+d.laneWait(pl))*d.fellows >= r.model.load ||
+			d.queue(w)+float64(pl.waiting)*r.model.run+d.laneWait(pl) >= r.model.load ||
 			!d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
 			continue
 		}
@@ -283,6 +284,14 @@
 	return float64(w.out-w.cold) < limit
 }
 
+// queue is the run time queued at a worker: our own, and for each fellow dispatcher as much as ours is there
+// over time, since all share the same homes of models.
+func (d *Dispatcher) queue(w *worker) Seconds {
+	w.mean += (w.work - w.mean) * (1 - math.Exp((w.meanAt-d.now)/meanSpan))
+	w.meanAt = d.now
+	return w.work + (d.fellows-1)*w.mean
+}
+
 // laneWait is the run time of own forwards ahead at a place beyond the lanes of one copy.
 func (d *Dispatcher) laneWait(pl *place) Seconds {
 	lanes := math.Max(1, pl.model.lanes)
@@ -301,7 +310,7 @@
 			continue
 		}
 		pl := m.at(w)
-		c := (w.work + m.run + d.laneWait(pl)) * d.fellows / d.warmth(w)
+		c := (d.queue(w) + m.run + d.laneWait(pl)) / d.warmth(w)
 		if pl.warm < d.now {
 			if warmOnly || pl.noRoom > d.now {
 				continue
@@ -349,6 +358,7 @@
 	r.n++
 	r.out++
 	r.want = wantForward
+	d.queue(w)
 	w.work += f.run
 	w.out++
 	pl.open++
@@ -391,6 +401,7 @@
 	f := &r.forwards[o.Forward]
 	w, m := f.to, r.model
 	pl := m.at(w)
+	d.queue(w)
 	d.unbook(r, f, pl)
 	if f.fate = fateMay; o.Result.NeverRan() {
 		f.fate = fateNever
@@ -529,18 +540,6 @@
 	}
 }
 
-// end notes that the final answer is given.
-func (d *Dispatcher) end(r *inference) {
-	r.unhold()
-	if r.want == wantForward { // never sent
-		r.n--
-		f := &r.forwards[r.n]
-		d.unbook(r, f, r.model.at(f.to))
-	}
-	r.want = wantDone
-	d.touch(r)
-}
-
 // Withdrawn takes note that the client left.
 func (d *Dispatcher) Withdrawn(id InferenceID) {
 	if r := d.hand.find(id); r != nil && r.want != wantDone {
--- a/control/state.go
+++ b/control/state.go
@@ -123,6 +123,8 @@
 	WorkerInfo
 	index    int
 	work     Seconds // run time of own forwards there
+	mean     Seconds // work, smoothed over time
+	meanAt   Seconds
 	loads    Seconds // load times of own cold groups there
 	out      int
 	bad      float64 // smoothed share of forwards that failed for the worker's own reasons
@@ -334,3 +336,15 @@
 		r.model.held++
 	}
 }
+
+// end notes that the final answer is given.
+func (d *Dispatcher) end(r *inference) {
+	r.unhold()
+	if r.want == wantForward { // never sent
+		r.n--
+		f := &r.forwards[r.n]
+		d.unbook(r, f, r.model.at(f.to))
+	}
+	r.want = wantDone
+	d.touch(r)
+}
