Full on a load rests loads only; warm work goes on

Cause: full for want of memory or load places also barred the worker's warm copies, so groups opened cold elsewhere.

--- a/control/control.go
+++ b/control/control.go
@@ -312,7 +312,7 @@
 		pl := m.at(w)
 		c := (d.queue(w) + m.run + d.laneWait(pl)) / d.warmth(w)
 		if pl.warm < d.now {
-			if warmOnly || pl.noRoom > d.now {
+			if warmOnly || pl.noRoom > d.now || w.noLoad > d.now {
 				continue
 			}
 			// Loads run beside the work of warm copies: those pending hold up only another load.
@@ -434,8 +434,13 @@
 		}
 	case Full:
 		w.fulls++
-		w.crowd = d.now + math.Min(crowdPause*math.Exp2(w.fulls-1), crowdMost)
-		d.width(w, 2*widthShare)
+		until := d.now + math.Min(crowdPause*math.Exp2(w.fulls-1), crowdMost)
+		if f.load { // no room for the copy, or too many loads: warm copies may still do well
+			w.noLoad = until
+		} else {
+			w.crowd = until
+			d.width(w, 2*widthShare)
+		}
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if o.Found == LoadFailed {
 			pl.warm = math.Inf(-1)
--- a/control/state.go
+++ b/control/state.go
@@ -137,6 +137,7 @@
 	cold     int     // own forwards out that wait for a load
 	limit    float64 // own forwards that may be out
 	share    float64 // smoothed warm answer time, of the SLO time
+	noLoad   Seconds // it turned a load away; none until then
 	fulls    float64 // times it turned work away since it last answered
 	narrowed Seconds
 	cost     Seconds // what the inference in hand would wait there
