--- a/control/control.go
+++ b/control/control.go
@@ -36,7 +36,7 @@
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	widthFirst   = 8.0  // forwards of all dispatchers out at a worker nothing is known of
-	widthShare   = 0.5  // of the SLO time: smoothed warm answer time above which a worker has too many
+	widthShare   = 0.7  // of the SLO time: smoothed warm answer time above which a worker has too many
 	widthLeast   = 1.0  // own forwards any worker may have out
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
