--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,7 @@
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
 	staleShare   = 0.25 // of the width: for inferences worth little by now
+	staleQueue   = 2.0  // of the SLO time: nor where more run time than that is queued, fellows included
 	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
 	tieBand      = 1.0  // of the load time: costs nearer than that are ties
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
@@ -275,17 +276,18 @@
 }
 
 // room tells whether the worker is under its width. Inferences that can no longer be in time, or are
-// beyond their tenant's share, leave part of it to the others.
+// beyond their tenant's share, leave part of it to the others; where a shed can tell the client when to
+// come back (else it is back at once), also while much is queued there, fellows included.
 func (d *Dispatcher) room(r *inference, w *worker) bool {
-	limit := w.limit
 	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
-		limit *= staleShare
+		return float64(w.out-w.cold) < staleShare*w.limit &&
+			(!d.set.Is("limits.retry_after") || d.queue(w) < staleQueue*r.group.slo)
 	}
-	return float64(w.out-w.cold) < limit
+	return float64(w.out-w.cold) < w.limit
 }
 
-// queue is the run time queued at a worker: our own, and for each fellow dispatcher as much as ours is there
-// over time, since all share the same homes of models.
+// queue is the run time queued at a worker: our own, and for each fellow dispatcher as much as ours is
+// there over time, since all share the same homes of models.
 func (d *Dispatcher) queue(w *worker) Seconds {
 	w.mean += (w.work - w.mean) * (1 - math.Exp((w.meanAt-d.now)/meanSpan))
 	w.meanAt = d.now
