--- a/control/control.go
+++ b/control/control.go
@@ -155,6 +155,10 @@
 		d.ration.count(d.now, span)
 		d.ration.taken[rationParts]++
 	}
+	if d.now >= r.notAfter-d.margin() {
+		d.giveUp(r) // it came with its time up, after a stall before us: the next look would be too late
+		return
+	}
 	d.find(r)
 }
 
