--- a/control/control.go
+++ b/control/control.go
@@ -101,12 +101,7 @@
 		}
 		w.WorkerInfo = l
 	}
-	d.ready = 0
-	for _, w := range d.workers {
-		if w.State == Ready {
-			d.ready++
-		}
-	}
+	d.countReady()
 	d.look()
 }
 
@@ -143,12 +138,7 @@
 		r.group.work += blend * (q.Work - r.group.work)
 	}
 	if int(q.Tenant) < len(d.tenants) {
-		t := d.tenants[q.Tenant]
-		t.level = math.Min(t.quota, t.level+(d.now-t.at)*t.quota) - 1
-		t.at = d.now
-		if r.over = t.level < 0; r.over {
-			t.level = 0
-		}
+		r.over = d.tenants[q.Tenant].beyond(d.now)
 	}
 	d.further = math.Min(furtherMost, d.further+furtherLeast+(furtherShare-furtherLeast)*d.furtherOK)
 	if span := d.set.Num("models.load_window", 0); span > 0 {
@@ -229,7 +219,7 @@
 		d.rateAt = d.now
 	}
 	if w.aside {
-		w.next = d.now + 1/w.rate
+		w.next = d.now + (0.5+d.rnd.share())/w.rate // not in step with fellow dispatchers
 	}
 }
 
--- a/control/rand.go
+++ b/control/rand.go
@@ -13,8 +13,8 @@
 	return r.x
 }
 
-// below returns a number from 0 to n-1.
-func (r *random) below(n int) int { return int(uint64(r.next()) * uint64(n) >> 32) }
+// share returns a number from 0 up to 1.
+func (r *random) share() float64 { return float64(r.next()) / (1 << 32) }
 
 // mix spreads a number over all bits (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
--- a/control/state.go
+++ b/control/state.go
@@ -53,8 +53,6 @@
 	notAfter Seconds
 	work     Seconds
 	want     want
-	to       *worker
-	load     bool   // the wanted forward opens a cold group
 	waits    *place // the place whose first answer or order it is held for
 	forwards [maxForwards]forward
 	n        int // forwards made
@@ -349,3 +347,22 @@
 	r.want = wantDone
 	d.touch(r)
 }
+
+// beyond counts one inference of the tenant and tells whether it is beyond its share.
+func (t *tenant) beyond(now Seconds) bool {
+	t.level = math.Min(t.quota, t.level+(now-t.at)*t.quota) - 1
+	t.at = now
+	over := t.level < 0
+	t.level = math.Max(0, t.level)
+	return over
+}
+
+// countReady counts the workers listed as ready.
+func (d *Dispatcher) countReady() {
+	d.ready = 0
+	for _, w := range d.workers {
+		if w.State == Ready {
+			d.ready++
+		}
+	}
+}
