--- a/control/control.go
+++ b/control/control.go
@@ -326,17 +326,24 @@
 	var best *place
 	var top uint64
 	for _, w := range d.workers {
-		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) || !d.room(r, w) {
+		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) {
 			continue
 		}
-		h := mix(uint64(m.id)*0x9e3779b97f4a7c15^uint64(w.ID)) >> 1
-		if m.at(w).warm >= d.now {
-			h |= 1 << 63 // a warm copy before any hash
+		pl := m.at(w)
+		h := mix(uint64(m.id)*0x9e3779b97f4a7c15^uint64(w.ID)) >> 2
+		if pl.warm >= d.now {
+			h |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
+		}
+		if d.room(r, w) {
+			h |= 1 << 62
 		}
 		if best == nil || h > top {
-			best, top = m.at(w), h
+			best, top = pl, h
 		}
 	}
+	if best == nil || !d.room(r, best.worker) {
+		return nil
+	}
 	return best
 }
 
