--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -11,7 +11,7 @@
 	"testing"
 )
 
-// The notation, one step a line:
+// The notation, one step a line or several with ; between:
 //
 //	set NAME VALUE                     a setting, before the first event
 //	workers [full] A[,zone=N,cell=N,start=T,state=ready|draining|gone] ...
@@ -24,15 +24,13 @@
 //	expect-none | forget               no action is open | drops the open actions
 //	count N WORD...                    so many of the open actions begin with these words
 type player struct {
-	t       *testing.T
-	set     Settings
-	d       *Dispatcher
-	now     Seconds
-	wakes   []Seconds
-	acts    []string
-	sent    map[string]Seconds
-	words   map[string]string
-	started bool
+	t     *testing.T
+	set   Settings
+	d     *Dispatcher
+	now   Seconds
+	wakes []Seconds
+	acts  []string
+	words map[string]string
 }
 
 var results = map[string]Result{"returned": Returned, "errored": Errored, "full": Full, "timed-out": TimedOut,
@@ -104,6 +102,9 @@
 				continue
 			}
 			o := options(strings.Split(s, ",")[1:])
+			if v, ok := p.words[strings.Split(s, ",")[0]]; ok {
+				s = v
+			}
 			list = append(list, WorkerInfo{ID: WorkerID(s[0]), Zone: ZoneID(num(o["zone"], 0)), State: states[o["state"]],
 				Cell: CellID(num(o["cell"], 0)), Weight: 1, Start: num(o["start"], math.Inf(-1))})
 		}
@@ -117,7 +118,7 @@
 		for i := num(first, 0); i <= num(last, 0); i++ {
 			q := Inference{ID: InferenceID(i), Model: ModelID(num(o["model"], 1)), Group: GroupID(num(o["group"], 0)),
 				Tenant: TenantID(num(o["tenant"], 0)), Lanes: num(o["lanes"], 4), Work: num(o["work"], 0),
-				Load: num(o["load"], 0), NotAfter: num(o["until"], p.now+5)}
+				Load: num(o["load"], 0), NotAfter: num(o["until"], p.now+5), Repeat: o["repeat"] != ""}
 			p.event(func() { p.d.Inference(q) })
 		}
 	case "end":
@@ -211,14 +212,14 @@
 			if n, ok := strings.CutPrefix(line, "== "); ok {
 				names = append(names, n)
 			} else if line = strings.TrimSpace(line); line != "" && len(names) > 0 {
-				steps[names[len(names)-1]] = append(steps[names[len(names)-1]], line)
+				steps[names[len(names)-1]] = append(steps[names[len(names)-1]], strings.Split(line, ";")...)
 			}
 		}
 		text.Close()
 		for _, n := range names {
 			t.Run(strings.ReplaceAll(n, " ", "-"), func(t *testing.T) {
 				p := &player{t: t, set: Settings{}, words: map[string]string{}}
-				for _, line := range append(strings.Split(usual, "\n"), steps[n]...) {
+				for _, line := range append(strings.FieldsFunc(usual, func(c rune) bool { return c == ';' || c == '\n' }), steps[n]...) {
 					p.play(line)
 				}
 			})
@@ -228,37 +229,22 @@
 
 // usual is what the settings are where a scenario does not say otherwise: one retriable, one deduped and one
 // non-retriable model group.
-const usual = `set groups 3
-set groups.0.effect retriable
-set groups.0.slo 1
-set groups.1.effect deduped
-set groups.1.scope cell
-set groups.1.window 2
-set groups.1.slo 1
-set groups.2.effect non-retriable
-set groups.2.slo 1
-set limits.max_forwards 6
-set limits.second_copies true
-set limits.cancel true
-set limits.retry_after true
-set limits.max_retry_after 0.5
-set models.orders true
-set models.on_miss load
-set models.keep 8
-set rules.warm_after 10
-set rules.cold_share 0.2
-set rules.overload_factor 2
-set rules.fall 1
-set tick 0.002`
+const usual = `set groups 3; set groups.0.effect retriable; set groups.0.slo 1; set groups.1.effect deduped
+set groups.1.scope cell; set groups.1.window 2; set groups.1.slo 1; set groups.2.effect non-retriable
+set groups.2.slo 1; set limits.max_forwards 6; set limits.second_copies true; set limits.cancel true
+set limits.retry_after true; set limits.max_retry_after 0.5; set models.orders true
+set models.on_miss load; set models.keep 8; set rules.warm_after 10; set rules.cold_share 0.2
+set rules.overload_factor 2; set rules.fall 1; set tick 0.002`
 
 // TestOrdinaryPathAllocatesNothing takes and answers inferences on a warm worker.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
-	p := &player{t: t, set: Settings{}, words: map[string]string{}}
-	for _, line := range strings.Split(usual+"\nworkers A B C", "\n") {
+	p := &player{t: t, set: Settings{}}
+	for _, line := range strings.FieldsFunc(usual, func(c rune) bool { return c == ';' || c == '\n' }) {
 		p.play(line)
 	}
 	d := New(7, p.set, quiet{})
-	d.Workers(ListComplete, 0, []WorkerInfo{{ID: 1, State: Ready, Start: math.Inf(-1)}, {ID: 2, State: Ready, Start: math.Inf(-1)}})
+	list := []WorkerInfo{{ID: 1, State: Ready, Start: math.Inf(-1)}, {ID: 2, State: Ready, Start: math.Inf(-1)}}
+	d.Workers(ListComplete, 0, list)
 	id, now := InferenceID(0), 0.0
 	round := func() {
 		now += 0.01
@@ -278,19 +264,8 @@
 	}
 }
 
-// quiet takes actions and does nothing.
-type quiet struct{}
+// quiet takes the actions of the ordinary path and does nothing.
+type quiet struct{ Actions }
 
 func (quiet) Forward(InferenceID, WorkerID, Seconds) {}
-func (quiet) Shed(InferenceID, Seconds)              {}
-func (quiet) Fail(InferenceID)                       {}
-func (quiet) Cancel(InferenceID, int)                {}
-func (quiet) Order(WorkerID, ModelID, int)           {}
-func (quiet) Unload(WorkerID, ModelID)               {}
-func (quiet) Probe(WorkerID)                         {}
-func (quiet) CloseIdle(WorkerID)                     {}
-func (quiet) Tell(PeerID, []byte)                    {}
-func (quiet) Subscribe(bool)                         {}
-func (quiet) FetchList()                             {}
 func (quiet) Wake(Seconds, TimerID)                  {}
-func (quiet) Log(string)                             {}
