--- a/control/control.go
+++ b/control/control.go
@@ -387,7 +387,8 @@
 		switch {
 		case other == nil:
 			d.giveUp(r)
-		case (stands || other != pl) && d.may(r, other.worker) && d.open(r, other.worker):
+		case (stands || other != pl) && d.may(r, other.worker) && d.open(r, other.worker) &&
+			d.room(r, other.worker):
 			d.send(r, other)
 		default:
 			d.find(r)
