--- a/control/control.go
+++ b/control/control.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	groupLimit   = 8    // inferences ever in one open group: the paper's MAX_GPSIZE
+	groupLimit   = 8    // inferences ever in one open group: the paper's; 5 and 16 no change at any site
 	firstLoad    = 2.0  // s, load time of a model before any is told or seen (design)
 	firstRun     = 0.25 // of the SLO time: run time of a model group before any answer
 	blend        = 0.1  // weight of a new answer in run and load times: some ten answers back
@@ -36,14 +36,14 @@
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	widthFirst   = 8.0  // forwards of all dispatchers out at a worker nothing is known of
-	widthShare   = 0.7  // of the SLO time: smoothed warm answer time above which a worker has too many
+	widthShare   = 0.7  // of the SLO time: warm answers above it, too many out; 0.5 lost where lanes are few
 	widthLeast   = 1.0  // own forwards any worker may have out
 	widthCut     = 0.8  // kept of the width then
 	widthGap     = 0.3  // s between two cuts: the first must show first
-	staleShare   = 0.25 // of the width: for inferences worth little by now
-	staleQueue   = 2.0  // of the SLO time: nor where more run time than that is queued, fellows included
+	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
+	staleQueue   = 2.0  // of the SLO time queued, with fellows', bars those; 0.5 and 1 lost more
 	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
-	tieBand      = 1.0  // of the load time: costs nearer than that are ties
+	tieBand      = 1.0  // load times: costs nearer are ties; 0.5 lost at all sites, 1.5 at one
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
@@ -64,7 +64,7 @@
 	}
 	if len(d.groups) == 0 { // nothing told: the strictest
 		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1),
-			run: firstRun, work: firstRun, load: firstLoad, value: 1})
+			run: firstRun, work: firstRun, load: firstLoad})
 	}
 	for i := 0; i < int(s.Num("tenants", 0)); i++ {
 		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / d.fellows
@@ -93,7 +93,7 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: math.Max(widthLeast, widthFirst/d.fellows)}
+			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: widthFirst / d.fellows}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -206,7 +206,6 @@
 	return d.now >= w.next && (r.group.effect != "non-retriable" || w.rate > trickleFirst)
 }
 
-// spend books a forward on the budgets of open.
 func (d *Dispatcher) spend(r *inference, w *worker) {
 	if c := d.warmth(w); c < 1 {
 		each := r.group.work
@@ -658,7 +657,8 @@
 // the model group allows one. A worker that answers others is left to finish: the inference is just heavy.
 func (d *Dispatcher) late(r *inference, f *forward) {
 	lost := f.to.State == Gone || f.to.Start != f.start
-	if !lost && (f.to.answer > f.sent || d.now-f.sent < math.Max(patience*f.expect, patienceSLO*r.group.slo)) {
+	if !lost && (f.to.answer > f.sent ||
+		d.now-f.sent < math.Max(patience*f.expect, patienceSLO*r.group.slo)) {
 		return
 	}
 	f.hedged = true
--- a/control/state.go
+++ b/control/state.go
@@ -48,7 +48,6 @@
 	id       InferenceID
 	model    *model
 	group    *modelGroup
-	tenant   *tenant
 	taken    Seconds
 	notAfter Seconds
 	work     Seconds
@@ -161,8 +160,6 @@
 	slo     Seconds
 	timeout Seconds
 	window  Seconds
-	value   float64
-	late    float64
 	run     Seconds // smoothed warm answer time of its models
 	work    Seconds // smoothed mean work of an inference, for the cold budget
 	load    Seconds // smoothed load time of its models
@@ -292,8 +289,7 @@
 func readGroup(s Settings, i int) *modelGroup {
 	at := "groups." + strconv.Itoa(i) + "."
 	return &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
-		timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), value: s.Num(at+"value", 1),
-		late: s.Num(at+"late_value", 0)}
+		timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0)}
 }
 
 // mayHaveRun returns the earliest forward that may have run or is still out, nil if there is none.
