Turns to a cold worker fall by chance and lapse when not used in time

Each dispatcher now draws its first turn over its own spacing, and a turn not used within the rule's span is drawn anew, so the sum over dispatchers keeps the rate. Also guards bursts of a model whose home just started; harms by leaving a cold worker nearly alone.

--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,7 @@
 	crowdPause   = 0.1  // s without new work after a worker turned some away; doubles until it answers
 	crowdMost    = 2.0  // s, the most of it
 	roomPause    = 1.0  // s without load orders of a model after one found no room
-	coldSafety   = 0.7  // of the cold budget used: the front spreads unevenly, capacity is a guess
+	coldSafety   = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
 	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	widthFirst   = 8.0  // forwards of all dispatchers out at a worker nothing is known of
@@ -73,16 +73,14 @@
 	return d
 }
 
-// At sets the clock.
 func (d *Dispatcher) At(now Seconds) { d.now = now }
 
 // Workers follows the list of workers. A fresh start clears all that was believed of the worker.
 func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
-	switch kind {
-	case ListFailed:
+	if kind == ListFailed {
 		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.set.Num("rules.ask_every", 10))
 		return
-	case ListChanges, ListComplete:
+	} else if kind != ListCached {
 		d.askGap = askFirst
 	}
 	if kind != ListChanges {
@@ -93,7 +91,8 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: widthFirst / d.fellows}
+			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: widthFirst / d.fellows,
+				coldAt: math.Inf(-1)}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -114,7 +113,7 @@
 		}
 	}
 	d.takeBack(w)
-	w.bad, w.crowd, w.coldAt = 0, 0, 0
+	w.bad, w.crowd, w.coldAt = 0, 0, math.Inf(-1)
 }
 
 // Inference takes one in.
@@ -163,12 +162,8 @@
 		r.out > 0 && !d.set.Is("limits.second_copies") {
 		return false
 	}
-	f := r.mayHaveRun() // the earliest one binds; the later ones kept to its scope
-	if f == nil || r.group.effect == "retriable" {
-		return true
-	}
-	scope := r.group.scope
-	return d.repeatable(r, f) && (scope == "all" || f.to.Zone == w.Zone &&
+	f, scope := r.mayHaveRun(), r.group.scope // the earliest one binds; the later ones kept to its scope
+	return f == nil || r.group.effect == "retriable" || d.repeatable(r, f) && (scope == "all" || f.to.Zone == w.Zone &&
 		(scope == "zone" || scope == "cell" && f.to.Cell == w.Cell))
 }
 
@@ -197,8 +192,13 @@
 // that no span holds more than our share of the budget) and lets a trickle through to those set aside;
 // where most look bad at once the cause is likely shared, and none counts as set aside.
 func (d *Dispatcher) open(r *inference, w *worker) bool {
-	if d.warmth(w) < 1 && d.now < w.coldAt {
-		return false
+	if c := d.warmth(w); c < 1 {
+		if d.now > w.coldAt+d.set.Num("rules.fall", 1) { // not used in time: all fellows' unused turns add up
+			w.coldAt = d.now + 2*d.rnd.share()*d.coldGap(r, w, c)
+		}
+		if d.now < w.coldAt {
+			return false
+		}
 	}
 	if !w.aside || 2*d.aside > d.ready {
 		return true
@@ -206,13 +206,17 @@
 	return d.now >= w.next && (r.group.effect != "non-retriable" || w.rate > trickleFirst)
 }
 
+// coldGap is how far apart our forwards to a cold worker are: their weight over our share of its budget.
+func (d *Dispatcher) coldGap(r *inference, w *worker, c float64) Seconds {
+	each := r.group.work
+	seen := d.rate * math.Exp((d.rateAt-d.now)/rateSpan) / math.Max(1, float64(d.ready))
+	least := each / (d.set.Num("rules.fall", 1) * d.fellows)
+	return each / math.Max(least, coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
+}
+
 func (d *Dispatcher) spend(r *inference, w *worker) {
 	if c := d.warmth(w); c < 1 {
-		each := r.group.work
-		seen := d.rate * math.Exp((d.rateAt-d.now)/rateSpan) / math.Max(1, float64(d.ready))
-		least := each / (d.set.Num("rules.fall", 1) * d.fellows)
-		w.coldAt = math.Max(d.now, w.coldAt) +
-			each/math.Max(least, coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
+		w.coldAt = d.now + 2*d.rnd.share()*d.coldGap(r, w, c)
 	} else {
 		d.rate = d.rate*math.Exp((d.rateAt-d.now)/rateSpan) + r.group.work/rateSpan
 		d.rateAt = d.now
@@ -225,14 +229,12 @@
 // find places an inference: into an open group, into a new one, or it is held until there is a worker for
 // it.
 func (d *Dispatcher) find(r *inference) {
-	d.touch(r)
 	if pl := d.join(r); pl != nil {
-		pl.count++
-		if pl.cold {
+		if pl.count++; pl.cold {
 			d.hold(r, pl)
-			return
+		} else {
+			d.send(r, pl)
 		}
-		d.send(r, pl)
 		return
 	}
 	pl := d.least(r, false)
@@ -340,8 +342,8 @@
 			best, top = pl, h
 		}
 	}
-	if best == nil || !d.room(r, best.worker) {
-		return nil
+	if best != nil && !d.room(r, best.worker) {
+		best = nil
 	}
 	return best
 }
@@ -360,6 +362,7 @@
 	r.n++
 	r.out++
 	r.want = wantForward
+	d.touch(r)
 	d.queue(w)
 	w.work += f.run
 	w.out++
@@ -378,7 +381,6 @@
 			continue
 		}
 		r.unhold()
-		d.touch(r)
 		other := pl
 		if !stands && r.n > 0 { // it has missed there: to a warm worker, or back to the client
 			other = d.least(r, true)
@@ -516,8 +518,7 @@
 
 func (d *Dispatcher) setAside(w *worker) {
 	if !w.aside {
-		w.aside = true
-		d.aside++
+		d.aside, w.aside = d.aside+1, true
 	}
 	w.rate, w.next = trickleFirst, d.now+1/trickleFirst
 }
@@ -619,7 +620,6 @@
 // Told takes a note of a fellow dispatcher; none is needed so far.
 func (d *Dispatcher) Told(PeerID, []byte) {}
 
-// Timer looks at all in hand.
 func (d *Dispatcher) Timer(TimerID) {
 	d.waked = false
 	d.look()
