Where own traffic is sparse: homes by share, workers' reports, probes; fixed widths

Cause: with a hundred dispatchers one own forward stood for a hundred (fellows' work from our own mean was noise), so groups spilled to cold workers, and every dispatcher sent a hot model to the same first home. Change, acting only where a dispatcher takes under a quarter inference a second for each worker: a model has homes by its share of what we take; queued work is what workers report, drawn to the fleet's mean (Little's law) as it ages; warm copies go by least work with ties by chance; two homes by chance are probed where allowed; a worker that turned an inference away is not tried again for it. Could harm: popularity that turns faster than the count of 20 s, and cold homes taken as warm.

--- a/control/control.go
+++ b/control/control.go
@@ -1,12 +1,11 @@
 // The decision module: one Dispatcher for each dispatcher process, made by New and driven through the
-// interface Module of api.go (At, then the events of that moment, then Settle). It acts only on its
-// settings and on those events, and only through Actions. Handlers change the wanted state: what each
-// inference in hand should be (held, out, shed, failed), which load orders and which timer should be out.
-// settle alone works out the difference to what is out already and emits it. The ordinary path is
-// docs/design.md's: join an open group, else open one at the worker with least queued work.
+// interface Module of api.go (At, then the events of that moment, then Settle). Handlers change the wanted
+// state: what each inference in hand should be (held, out, shed, failed), which orders, probes and timer
+// should be out. Settle alone emits the difference to what is out. The ordinary path is docs/design.md's.
 package control
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -18,9 +17,9 @@
 	firstRun     = 0.25 // of the SLO time: run time of a model group before any answer
 	blend        = 0.1  // weight of a new answer in run and load times: some ten answers back
 	scan         = 0.01 // s between looks at all in hand: well under any SLO time, and cheap
+	lookLong     = 0.1  // s until those held for room are tried again where nothing was heard meanwhile
 	endMargin    = 0.02 // s kept of the client's time, on top of two ticks: two looks at all in hand
 	patience     = 3.0  // expected answer times until a forward is late: answer times spread about as wide
-	patienceSLO  = 0.5  // of the SLO time: no forward counts as late before that
 	badBlend     = 0.2  // weight of one outcome in a worker's failure share: some five back
 	badAside     = 0.3  // failure share at which a worker is set aside: two failures close together
 	badBack      = 0.15 // failure share of one taken back: a single failure sets it aside again
@@ -33,17 +32,22 @@
 	crowdMost    = 2.0  // s, the most of it
 	roomPause    = 1.0  // s without load orders of a model after one found no room
 	coldSafety   = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
-	rateSpan     = 5.0  // s over which own work a second is smoothed
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	widthFirst   = 8.0  // forwards of all dispatchers out at a worker nothing is known of
-	widthShare   = 0.7  // of the SLO time: warm answers above it, too many out; 0.5 lost where lanes are few
-	widthLeast   = 1.0  // own forwards any worker may have out
-	widthCut     = 0.8  // kept of the width then
-	widthGap     = 0.3  // s between two cuts: the first must show first
+	widthAll     = 8.0  // forwards of all dispatchers out at a worker; widths that follow answer times lost
+	widthLeast   = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
 	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
-	staleQueue   = 2.0  // of the SLO time queued, with fellows', bars those; 0.5 and 1 lost more
 	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
 	tieBand      = 1.0  // load times: costs nearer are ties; 0.5 lost at all sites, 1.5 at one
+	tieWarm      = 2.0  // run times: costs of warm copies nearer than that are ties
+	reportSpan   = 10.0 // s in which a report loses two thirds of its weight; 4 lost 0.03 to 0.07
+	reportBlend  = 0.5  // weight of a new report of a worker
+	probeHomes   = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
+	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
+	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
+	atOnce       = 4.0  // inferences a worker does at once unslowed: cores are told nowhere; 2 lost at one site
+	homeSpan     = 20.0 // s over which inferences taken are counted: popularity lasts about as long
+	homeShare    = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
+	homeLeast    = 30.0 // inferences in that span under which shares tell little
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
@@ -52,29 +56,29 @@
 	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
 	d.known, d.hand.byID = map[WorkerID]*worker{}, map[InferenceID]int{}
 	d.further, d.furtherOK = furtherMost, 1
-	d.fellows = math.Max(1, s.Num("dispatchers", 1))
+	d.fellows, d.run = math.Max(1, s.Num("dispatchers", 1)), firstRun
+	for i := range int(s.Num("load_report.fields", 0)) {
+		if f := s.Text("load_report.fields." + strconv.Itoa(i)); f == "inflight" || f == "queue" {
+			d.counts = append(d.counts, i)
+		}
+	}
 	if d.askGap = askFirst; s.Text("discovery") != "ask" {
 		d.askAt = math.Inf(1)
 	}
-	for i := 0; i < int(s.Num("groups", 0)); i++ {
-		g := readGroup(s, i)
-		g.run, g.load = firstRun*g.slo, firstLoad
-		g.work = g.run
+	for i := range max(1, int(s.Num("groups", 0))) { // where none is told there is one, of the strictest kind
+		at := "groups." + strconv.Itoa(i) + "."
+		g := &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
+			timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), load: firstLoad}
+		g.run, g.work = firstRun*g.slo, firstRun*g.slo
 		d.groups = append(d.groups, g)
 	}
-	if len(d.groups) == 0 { // nothing told: the strictest
-		d.groups = append(d.groups, &modelGroup{effect: "non-retriable", slo: 1, timeout: math.Inf(1),
-			run: firstRun, work: firstRun, load: firstLoad})
-	}
-	for i := 0; i < int(s.Num("tenants", 0)); i++ {
+	for i := range int(s.Num("tenants", 0)) {
 		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / d.fellows
 		d.tenants = append(d.tenants, &tenant{quota: q, level: q})
 	}
 	return d
 }
 
-func (d *Dispatcher) At(now Seconds) { d.now = now }
-
 // Workers follows the list of workers. A fresh start clears all that was believed of the worker.
 func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
 	if kind == ListFailed {
@@ -91,8 +95,8 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now, limit: widthFirst / d.fellows,
-				coldAt: math.Inf(-1)}
+			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now,
+				coldAt: math.Inf(-1), heldAt: math.Inf(-1)}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -101,6 +105,7 @@
 		w.WorkerInfo = l
 	}
 	d.countReady()
+	d.changed = true
 	d.look()
 }
 
@@ -108,8 +113,7 @@
 func (d *Dispatcher) fresh(w *worker) {
 	for _, m := range d.models {
 		if w.index < len(m.places) {
-			m.places[w.index].warm = math.Inf(-1)
-			m.places[w.index].noRoom = 0
+			m.places[w.index].warm, m.places[w.index].noRoom = math.Inf(-1), 0
 		}
 	}
 	d.takeBack(w)
@@ -123,16 +127,17 @@
 	m := d.models[q.Model]
 	if m == nil {
 		m = &model{id: q.Model, group: r.group, run: r.group.run, load: r.group.load}
-		m.places = make([]place, 0, len(d.workers)+8)
 		d.models[q.Model] = m
 	}
 	if q.Load > 0 && !m.heard {
 		m.load = q.Load
 	}
-	m.lanes = q.Lanes
+	m.asked, m.askedAt = 1+m.asked*math.Exp((m.askedAt-d.now)/homeSpan), d.now
+	d.asked, d.askedAt = 1+d.asked*math.Exp((d.askedAt-d.now)/homeSpan), d.now
 	r.model, r.taken, r.work = m, d.now, q.Work
-	r.repeat = q.Repeat
-	r.notAfter = math.Min(q.NotAfter, d.now+r.group.timeout)
+	d.sparse = d.taken() < sparseRate*float64(d.ready)
+	m.homes = d.spread(m)
+	r.repeat, r.notAfter = q.Repeat, math.Min(q.NotAfter, d.now+r.group.timeout)
 	if q.Work > 0 {
 		r.group.work += blend * (q.Work - r.group.work)
 	}
@@ -163,8 +168,8 @@
 		return false
 	}
 	f, scope := r.mayHaveRun(), r.group.scope // the earliest one binds; the later ones kept to its scope
-	return f == nil || r.group.effect == "retriable" || d.repeatable(r, f) && (scope == "all" || f.to.Zone == w.Zone &&
-		(scope == "zone" || scope == "cell" && f.to.Cell == w.Cell))
+	return f == nil || r.group.effect == "retriable" || d.repeatable(r, f) && (scope == "all" ||
+		f.to.Zone == w.Zone && (scope == "zone" || scope == "cell" && f.to.Cell == w.Cell))
 }
 
 // repeatable tells whether a repeat of a forward that may have run is still dropped within its scope.
@@ -209,7 +214,7 @@
 // coldGap is how far apart our forwards to a cold worker are: their weight over our share of its budget.
 func (d *Dispatcher) coldGap(r *inference, w *worker, c float64) Seconds {
 	each := r.group.work
-	seen := d.rate * math.Exp((d.rateAt-d.now)/rateSpan) / math.Max(1, float64(d.ready))
+	seen := d.taken() * each / math.Max(1, float64(d.ready))
 	least := each / (d.set.Num("rules.fall", 1) * d.fellows)
 	return each / math.Max(least, coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
 }
@@ -217,17 +222,13 @@
 func (d *Dispatcher) spend(r *inference, w *worker) {
 	if c := d.warmth(w); c < 1 {
 		w.coldAt = d.now + 2*d.rnd.share()*d.coldGap(r, w, c)
-	} else {
-		d.rate = d.rate*math.Exp((d.rateAt-d.now)/rateSpan) + r.group.work/rateSpan
-		d.rateAt = d.now
 	}
 	if w.aside {
 		w.next = d.now + (0.5+d.rnd.share())/w.rate // not in step with fellow dispatchers
 	}
 }
 
-// find places an inference: into an open group, into a new one, or it is held until there is a worker for
-// it.
+// find places an inference: into an open group, into a new one, or it is held until there is a worker.
 func (d *Dispatcher) find(r *inference) {
 	if pl := d.join(r); pl != nil {
 		if pl.count++; pl.cold {
@@ -238,12 +239,11 @@
 		return
 	}
 	pl := d.least(r, false)
-	if pl == nil {
+	if pl == nil || d.probe(r) {
 		d.hold(r, nil)
 		return
 	}
-	pl.group++
-	pl.open, pl.count = 0, 1
+	pl.group, pl.open, pl.count = pl.group+1, 0, 1
 	if pl.warm < d.now && !pl.cold {
 		pl.cold, pl.since, pl.load = true, d.now, r.model.load
 		pl.worker.loads += pl.load
@@ -251,6 +251,37 @@
 	d.send(r, pl)
 }
 
+// probe asks some homes of the model, by chance, what they hold, where that is allowed, own traffic is too
+// thin to tell and no report is new; the inference is held for the answers, or a look or two.
+func (d *Dispatcher) probe(r *inference) bool {
+	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.set.Is("limits.probes") {
+		return false
+	}
+	n := min(len(d.top), max(r.model.homes, probeHomes))
+	for i := range min(n, probeHomes) {
+		j := i + int(d.rnd.share()*float64(n-i))
+		d.top[i], d.top[j] = d.top[j], d.top[i]
+		if w := d.top[i]; w.heldAt < d.now-probeFresh {
+			d.probes = append(d.probes, w)
+			r.probed = true
+		}
+	}
+	return r.probed
+}
+
+// report takes what a worker reports to hold; those that wait there count twice where they are told apart.
+func (d *Dispatcher) report(w *worker, told []float64, weight float64) {
+	held := 0.0
+	for _, i := range d.counts {
+		if i >= len(told) {
+			return
+		}
+		held += told[i]
+	}
+	w.held = d.holds(w)
+	w.held, w.heldAt = w.held+weight*(held-w.held), d.now
+}
+
 // join returns the place with an open group that this inference may join: under the limit, and own
 // requests there take less than a load would; of several, where they take least.
 func (d *Dispatcher) join(r *inference) *place {
@@ -259,7 +290,7 @@
 		pl := &r.model.places[i]
 		w := pl.worker
 		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			d.queue(w)+float64(pl.waiting)*r.model.run+d.laneWait(pl) >= r.model.load ||
+			d.queue(w)+float64(pl.waiting)*r.model.run >= r.model.load ||
 			!d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
 			continue
 		}
@@ -271,28 +302,47 @@
 }
 
 // room tells whether the worker is under its width. Inferences that can no longer be in time, or are
-// beyond their tenant's share, leave part of it to the others; where a shed can tell the client when to
-// come back (else it is back at once), also while much is queued there, fellows included.
+// beyond their tenant's share, leave part of it to the others.
 func (d *Dispatcher) room(r *inference, w *worker) bool {
+	limit := math.Max(widthLeast, widthAll/d.fellows)
 	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
-		return float64(w.out-w.cold) < staleShare*w.limit &&
-			(!d.set.Is("limits.retry_after") || d.queue(w) < staleQueue*r.group.slo)
+		limit *= staleShare
 	}
-	return float64(w.out-w.cold) < w.limit
+	return float64(w.out-w.cold) < limit
 }
 
-// queue is the run time queued at a worker: our own, and for each fellow dispatcher as much as ours is
-// there over time, since all share the same homes of models.
+// queue is the run time queued at a worker. Where workers report what they hold, that stands for fellows'
+// work, drawn to the fleet's mean as it ages; else each fellow is taken to queue as much as ours is there
+// over time, since all share the same homes of models.
 func (d *Dispatcher) queue(w *worker) Seconds {
+	if d.sparse && len(d.counts) > 0 {
+		return math.Max(w.work, d.holds(w)*d.run/atOnce)
+	}
 	w.mean += (w.work - w.mean) * (1 - math.Exp((w.meanAt-d.now)/meanSpan))
 	w.meanAt = d.now
 	return w.work + (d.fellows-1)*w.mean
 }
 
-// laneWait is the run time of own forwards ahead at a place beyond the lanes of one copy.
-func (d *Dispatcher) laneWait(pl *place) Seconds {
-	lanes := math.Max(1, pl.model.lanes)
-	return math.Max(0, float64(pl.out+1)-lanes) * pl.model.run / lanes
+// holds is how many inferences a worker holds by its reports, drawn as they age to what the fleet must hold
+// on average by Little's law (the mean of the reports themselves leans to the busy workers).
+func (d *Dispatcher) holds(w *worker) float64 {
+	mean := d.fellows * d.taken() * d.run / math.Max(1, float64(d.ready))
+	return mean + (w.held-mean)*math.Exp((w.heldAt-d.now)/reportSpan)
+}
+
+// taken is how many inferences a second this dispatcher takes.
+func (d *Dispatcher) taken() float64 {
+	span := homeSpan * (1 - math.Exp(-math.Max(1, d.now)/homeSpan))
+	return d.asked * math.Exp((d.askedAt-d.now)/homeSpan) / span
+}
+
+// spread is how many homes a model has. Where own traffic is sparse nobody sees a home's queue in time, so a
+// model has as many as keep its share of what we take below a part of a worker's.
+func (d *Dispatcher) spread(m *model) int {
+	if !d.sparse {
+		return 1
+	}
+	return min(1+int(m.asked*float64(d.ready)/(homeShare*(d.asked+homeLeast))), max(1, d.ready/2))
 }
 
 // least returns the place with least queued work, load included where no warm copy is believed. Costs
@@ -301,51 +351,63 @@
 // may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low := r.model, math.Inf(1)
+	d.top = d.top[:0]
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
 		if !d.may(r, w) || !d.open(r, w) || d.now < w.crowd {
 			continue
 		}
-		pl := m.at(w)
-		c := (d.queue(w) + m.run + d.laneWait(pl)) / d.warmth(w)
-		if pl.warm < d.now {
-			if warmOnly || pl.noRoom > d.now || w.noLoad > d.now {
-				continue
-			}
-			// Loads run beside the work of warm copies: those pending hold up only another load.
-			if c += m.load + w.loads; d.now+w.loads > r.notAfter {
-				continue // the loads pending there outlast the client's time
-			}
-		}
+		w.cost = (d.queue(w) + m.run) / d.warmth(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
-		c += w.bad * (m.load + r.group.slo)
+		w.cost += w.bad * (m.load + r.group.slo)
 		if r.tried(w) {
-			c += aheadOff
+			w.cost += aheadOff
 		}
-		w.cost, low = c, math.Min(low, c)
+		w.rank = mix(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID))
+		d.top = append(d.top, w)
 	}
-	var best *place
+	if d.sparse { // its homes, first in order first
+		slices.SortFunc(d.top, func(a, b *worker) int { return cmp.Compare(b.rank, a.rank) })
+	}
+	for _, w := range d.workers {
+		if pl, c := m.at(w), w.cost; !math.IsInf(c, 1) {
+			home := slices.Contains(d.top[:min(len(d.top), m.homes)], w)
+			if w.hot = pl.warm >= d.now || home && m.homes > 1; !w.hot {
+				// Loads run beside the work of warm copies: those pending hold up only another load.
+				w.cost += m.load + w.loads
+				if warmOnly || pl.noRoom > d.now || w.noLoad > d.now || d.now+w.loads > r.notAfter {
+					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
+				}
+			} else if d.sparse && !home {
+				w.cost += m.run // fellows do not know of this copy, so it will not last
+			}
+			low = math.Min(low, w.cost)
+		}
+	}
+	var best *worker
 	var top uint64
 	for _, w := range d.workers {
 		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) {
 			continue
 		}
-		pl := m.at(w)
-		h := mix(uint64(m.id)*0x9e3779b97f4a7c15^uint64(w.ID)) >> 2
-		if pl.warm >= d.now {
+		h := w.rank >> 2
+		if w.hot {
+			if d.sparse { // by cost, ties by chance: fellows see the same reports
+				h = uint64(1e18 / (1 + w.cost + tieWarm*m.run*d.rnd.share()))
+			}
 			h |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
 		}
 		if d.room(r, w) {
 			h |= 1 << 62
 		}
 		if best == nil || h > top {
-			best, top = pl, h
+			best, top = w, h
 		}
 	}
-	if best != nil && !d.room(r, best.worker) {
-		best = nil
+	if best != nil && d.room(r, best) {
+		return m.at(best)
 	}
-	return best
+	return nil
 }
 
 // send wants a forward to a place and books it in the ledger.
@@ -353,45 +415,35 @@
 	w, m := pl.worker, r.model
 	f := &r.forwards[r.n]
 	*f = forward{to: w, start: w.Start, sent: d.now, run: m.run, group: pl.group, expect: w.work + m.run}
-	f.laned = float64(pl.out) >= math.Max(1, m.lanes)
 	if pl.warm < d.now {
-		f.load = true
+		f.load, f.expect = true, f.expect+m.load+w.loads
 		w.cold++
-		f.expect += m.load + w.loads
 	}
-	r.n++
-	r.out++
-	r.want = wantForward
+	r.n, r.out, r.want = r.n+1, r.out+1, wantForward
 	d.touch(r)
 	d.queue(w)
-	w.work += f.run
-	w.out++
-	pl.open++
-	pl.out++
+	w.work, w.out = w.work+f.run, w.out+1
+	pl.open, pl.out = pl.open+1, pl.out+1
 	d.spend(r, w)
 }
 
 // release lets those held for a place go: to it where a copy stands there, else anew.
 func (d *Dispatcher) release(pl *place, stands bool) {
-	if pl.waiting == 0 {
-		return
-	}
-	for _, r := range d.hand.all {
+	for i := 0; i < len(d.hand.all) && pl.waiting > 0; i++ {
+		r := d.hand.all[i]
 		if !r.live || r.waits != pl || r.want != wantHold {
 			continue
 		}
 		r.unhold()
-		other := pl
-		if !stands && r.n > 0 { // it has missed there: to a warm worker, or back to the client
-			other = d.least(r, true)
+		to, missed := pl, !stands && r.n > 0
+		if missed { // to a warm worker, or back to the client
+			to = d.least(r, true)
 		}
-		switch {
-		case other == nil:
+		if to == nil {
 			d.giveUp(r)
-		case (stands || other != pl) && d.may(r, other.worker) && d.open(r, other.worker) &&
-			d.room(r, other.worker):
-			d.send(r, other)
-		default:
+		} else if w := to.worker; (stands || missed) && d.may(r, w) && d.open(r, w) && d.room(r, w) {
+			d.send(r, to)
+		} else {
 			d.find(r)
 		}
 	}
@@ -406,6 +458,7 @@
 	f := &r.forwards[o.Forward]
 	w, m := f.to, r.model
 	pl := m.at(w)
+	d.changed = true
 	d.queue(w)
 	d.unbook(r, f, pl)
 	if f.fate = fateMay; o.Result.NeverRan() {
@@ -414,11 +467,11 @@
 	if o.Result.Heard() {
 		w.answer = d.now
 	}
-	if o.Forward > 0 && o.Result != Cancelled && o.Result != Missed {
-		d.furtherOK *= 1 - blend
-		if o.Result == Returned {
-			d.furtherOK += blend
-		}
+	d.report(w, o.Report, reportBlend)
+	if o.Result == Returned && o.Forward > 0 {
+		d.furtherOK += blend * (1 - d.furtherOK)
+	} else if o.Forward > 0 && o.Result != Cancelled && o.Result != Missed {
+		d.furtherOK -= blend * d.furtherOK
 	}
 	switch o.Result {
 	case Returned:
@@ -438,13 +491,12 @@
 			return
 		}
 	case Full:
-		w.fulls++
+		f.full, w.fulls = d.sparse, w.fulls+1
 		until := d.now + math.Min(crowdPause*math.Exp2(w.fulls-1), crowdMost)
-		if f.load { // no room for the copy, or too many loads: warm copies may still do well
+		if f.load && m.homes == 1 { // no room for the copy, or too many loads: warm copies may still do well
 			w.noLoad = until
 		} else {
 			w.crowd = until
-			d.width(w, 2*widthShare)
 		}
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if o.Found == LoadFailed {
@@ -462,15 +514,13 @@
 	}
 }
 
-// learn takes run and load times, and the worker's width, from an answer.
+// learn takes run and load times from an answer.
 func (d *Dispatcher) learn(r *inference, f *forward, o Outcome) {
 	m, g := r.model, r.group
 	switch {
 	case o.Found == FoundWarm || o.Found == NotTold && !f.load:
-		if !f.load && !f.laned {
-			d.width(f.to, o.Took/g.slo)
-		}
 		ease(&m.run, &m.timed, o.Took, blend)
+		d.run += blend / 2 * (o.Took - d.run)
 		ease(&g.run, &g.timed, o.Took, blend)
 		if r.work == 0 {
 			g.work += blend * (o.Took - g.work)
@@ -485,48 +535,24 @@
 	m.group.load += blend * (took - m.group.load)
 }
 
-// judge keeps a worker's failure share and sets it aside or brings it back by a trickle that doubles.
+// judge keeps a worker's failure share, sets it aside and brings it back by a trickle that doubles.
 func (d *Dispatcher) judge(w *worker, ok bool) {
 	if ok {
-		w.bad -= badBlend * w.bad
-		w.fulls = 0
-		if w.aside {
-			if w.rate *= 2; w.rate >= trickleBack {
-				d.takeBack(w)
-			}
+		w.bad, w.fulls = w.bad-badBlend*w.bad, 0
+		if w.rate *= 2; w.aside && w.rate >= trickleBack {
+			d.takeBack(w)
 		}
-		return
-	}
-	if w.bad += badBlend * (1 - w.bad); w.bad > badAside || w.aside {
-		d.setAside(w)
-	}
-}
-
-// width keeps how many own forwards a worker may have out: it grows while warm answers come well within
-// the SLO time and shrinks while they do not, or work is turned away. It guards against overload, slow or
-// shared machines and queues of fellow dispatchers; it could harm where work itself is near the SLO time.
-func (d *Dispatcher) width(w *worker, share float64) {
-	w.share += blend * (share - w.share)
-	if w.share > widthShare {
-		if out := float64(w.out - w.cold + 1); d.now > w.narrowed+widthGap && out > w.limit*widthCut {
-			w.limit, w.narrowed = math.Max(widthLeast, math.Min(w.limit, out)*widthCut), d.now
+	} else if w.bad += badBlend * (1 - w.bad); w.bad > badAside || w.aside {
+		if !w.aside {
+			d.aside, w.aside = d.aside+1, true
 		}
-	} else if float64(w.out-w.cold+1) > w.limit-1 {
-		w.limit += 1 / w.limit
+		w.rate, w.next = trickleFirst, d.now+1/trickleFirst
 	}
 }
 
-func (d *Dispatcher) setAside(w *worker) {
-	if !w.aside {
-		d.aside, w.aside = d.aside+1, true
-	}
-	w.rate, w.next = trickleFirst, d.now+1/trickleFirst
-}
-
 func (d *Dispatcher) takeBack(w *worker) {
 	if w.aside {
-		w.aside, w.bad = false, badBack
-		d.aside--
+		d.aside, w.aside, w.bad = d.aside-1, false, badBack
 	}
 }
 
@@ -549,31 +575,11 @@
 	}
 }
 
-// Withdrawn takes note that the client left.
-func (d *Dispatcher) Withdrawn(id InferenceID) {
-	if r := d.hand.find(id); r != nil && r.want != wantDone {
-		d.end(r)
-	}
-}
-
-// Streaming takes note that the answer has begun: the forward is the client's now.
-func (d *Dispatcher) Streaming(id InferenceID, _ int, w WorkerID, _ Seconds) {
-	if r := d.hand.find(id); r != nil {
-		r.stream = true
-	}
-	if k := d.known[w]; k != nil {
-		k.answer = d.now
-	}
-}
-
 // order wants a load order for a place: one for a worker and model at a time, within the ration.
 func (d *Dispatcher) order(pl *place) bool {
-	if pl.ordered || pl.wanted {
-		return true
-	}
-	if !d.set.Is("models.orders") || d.set.Text("models.on_miss") != "miss" || pl.noRoom > d.now ||
-		pl.worker.State != Ready {
-		return false
+	if pl.ordered || pl.wanted || !d.set.Is("models.orders") || d.set.Text("models.on_miss") != "miss" ||
+		pl.noRoom > d.now || pl.worker.State != Ready {
+		return pl.ordered || pl.wanted
 	}
 	if span := d.set.Num("models.load_window", 0); span > 0 { // rule 5
 		sent, taken := d.ration.count(d.now, span)
@@ -596,15 +602,13 @@
 	pl := m.at(w)
 	pl.ordered = false
 	stands := o.Result == Returned && o.Copies > 0
-	if o.Result == Returned || o.Result == Full || o.Result == Errored {
+	if o.Result.Heard() {
 		w.answer = d.now
 	}
-	if stands {
+	if pl.warm = d.now + d.set.Num("models.keep", 0); stands {
 		d.loaded(m, o.Took)
-		pl.warm = d.now + d.set.Num("models.keep", 0)
 	} else {
-		pl.warm = math.Inf(-1)
-		pl.noRoom = d.now + roomPause
+		pl.warm, pl.noRoom = math.Inf(-1), d.now+roomPause
 	}
 	d.settled(pl)
 	d.release(pl, stands)
@@ -614,19 +618,18 @@
 func (d *Dispatcher) Probed(o ProbeResult) {
 	if w := d.known[o.Worker]; w != nil && o.Result == Returned {
 		w.answer = d.now
+		d.report(w, o.Report, 1)
 	}
-}
-
-// Told takes a note of a fellow dispatcher; none is needed so far.
-func (d *Dispatcher) Told(PeerID, []byte) {}
-
-func (d *Dispatcher) Timer(TimerID) {
-	d.waked = false
+	d.changed = true
 	d.look()
 }
 
 // look goes over all in hand: time-outs, late forwards, and those held for a worker to have room.
 func (d *Dispatcher) look() {
+	retry := d.changed || d.now > d.retried+lookLong
+	if retry {
+		d.changed, d.retried = false, d.now
+	}
 	for _, r := range d.hand.all {
 		if !r.live || r.want != wantHold && r.want != wantOut {
 			continue
@@ -636,12 +639,11 @@
 			continue
 		}
 		if r.want == wantHold {
-			if pl := r.waits; pl != nil && pl.worker.State == Ready && !pl.worker.aside &&
-				(pl.ordered || pl.wanted || d.now < pl.since+patience*r.model.load) {
-				continue
+			if pl := r.waits; pl == nil && retry || pl != nil && (pl.worker.State != Ready || pl.worker.aside ||
+				!pl.ordered && !pl.wanted && d.now >= pl.since+patience*r.model.load) {
+				r.unhold()
+				d.find(r)
 			}
-			r.unhold()
-			d.find(r)
 			continue
 		}
 		for i := 0; i < r.n && r.want == wantOut && !r.stream; i++ {
@@ -657,13 +659,11 @@
 // the model group allows one. A worker that answers others is left to finish: the inference is just heavy.
 func (d *Dispatcher) late(r *inference, f *forward) {
 	lost := f.to.State == Gone || f.to.Start != f.start
-	if !lost && (f.to.answer > f.sent ||
-		d.now-f.sent < math.Max(patience*f.expect, patienceSLO*r.group.slo)) {
+	if !lost && (f.to.answer > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.group.slo/2)) {
 		return
 	}
-	f.hedged = true
-	if !lost {
-		d.setAside(f.to)
+	if f.hedged = true; !lost {
+		d.judge(f.to, false)
 	}
 	if d.set.Is("limits.second_copies") {
 		d.again(r)
@@ -673,8 +673,8 @@
 // Settle emits the difference between the wanted state and what is out.
 func (d *Dispatcher) Settle() {
 	if d.now >= d.askAt {
-		d.act.Subscribe(true)
 		d.askAt = math.Inf(1)
+		d.act.Subscribe(true)
 	}
 	for _, pl := range d.orders {
 		pl.wanted = false
@@ -683,7 +683,9 @@
 			d.act.Order(pl.worker.ID, pl.model.id, 1)
 		}
 	}
-	d.orders = d.orders[:0]
+	for _, w := range d.probes {
+		d.act.Probe(w.ID)
+	}
 	for _, r := range d.dirty {
 		r.dirty = false
 		switch r.want {
@@ -691,11 +693,7 @@
 			d.act.Forward(r.id, r.forwards[r.n-1].to.ID, 0)
 			r.want = wantOut
 		case wantShed:
-			back := 0.0
-			if d.set.Is("limits.retry_after") {
-				back = math.Min(r.model.load, d.set.Num("limits.max_retry_after", 0))
-			}
-			d.act.Shed(r.id, back)
+			d.act.Shed(r.id, math.Min(r.model.load, d.set.Num("limits.max_retry_after", 0)))
 			r.want = wantDone
 		case wantFail:
 			d.act.Fail(r.id)
@@ -713,7 +711,7 @@
 			d.hand.drop(r)
 		}
 	}
-	d.dirty = d.dirty[:0]
+	d.orders, d.probes, d.dirty = d.orders[:0], d.probes[:0], d.dirty[:0]
 	if !d.waked && (len(d.hand.byID) > 0 || !math.IsInf(d.askAt, 1)) {
 		d.waked = true
 		d.act.Wake(scan, 0)
--- a/control/state.go
+++ b/control/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 )
 
 // maxForwards is how many forwards one record can hold.
@@ -25,8 +24,8 @@
 	run    Seconds // what the ledger counts for it
 	group  uint32  // which open group of the place it joined
 	fate   fate
+	full   bool // it was turned away
 	hedged bool // a second copy was tried for it
-	laned  bool // it found all lanes taken by own forwards
 	load   bool // it carries a load not yet seen to stand
 }
 
@@ -60,6 +59,7 @@
 	live     bool
 	dirty    bool
 	stream   bool
+	probed   bool // workers were asked what they hold before it went out
 	repeat   bool // the client asked before, so the SLO time is hardly to be kept
 	over     bool // beyond its tenant's share
 }
@@ -118,26 +118,27 @@
 // worker is one worker as this dispatcher knows it.
 type worker struct {
 	WorkerInfo
-	index    int
-	work     Seconds // run time of own forwards there
-	mean     Seconds // work, smoothed over time
-	meanAt   Seconds
-	loads    Seconds // load times of own cold groups there
-	out      int
-	bad      float64 // smoothed share of forwards that failed for the worker's own reasons
-	answer   Seconds // last sign of life
-	aside    bool
-	rate     float64 // forwards a second let through while set aside
-	next     Seconds // no forward before then while set aside
-	crowd    Seconds // turned work away; no new group until then
-	coldAt   Seconds // cold budget: the next forward fits then
-	cold     int     // own forwards out that wait for a load
-	limit    float64 // own forwards that may be out
-	share    float64 // smoothed warm answer time, of the SLO time
-	noLoad   Seconds // it turned a load away; none until then
-	fulls    float64 // times it turned work away since it last answered
-	narrowed Seconds
-	cost     Seconds // what the inference in hand would wait there
+	index  int
+	work   Seconds // run time of own forwards there
+	mean   Seconds // work, smoothed over time
+	meanAt Seconds
+	loads  Seconds // load times of own cold groups there
+	out    int
+	bad    float64 // smoothed share of forwards that failed for the worker's own reasons
+	answer Seconds // last sign of life
+	aside  bool
+	rate   float64 // forwards a second let through while set aside
+	next   Seconds // no forward before then while set aside
+	crowd  Seconds // turned work away; no new group until then
+	coldAt Seconds // cold budget: the next forward fits then
+	cold   int     // own forwards out that wait for a load
+	noLoad Seconds // it turned a load away; none until then
+	fulls  float64 // times it turned work away since it last answered
+	cost   Seconds // what the inference in hand would wait there
+	rank   uint64  // its place in the order of homes of the model in hand
+	hot    bool    // a copy of the model in hand is taken to stand there
+	held   float64 // inferences it reported to hold, smoothed
+	heldAt Seconds
 }
 
 // model is one model: its estimates and its places, by worker index.
@@ -148,9 +149,11 @@
 	load   Seconds // load time, told or learned
 	heard  bool    // load time learned from an answer
 	timed  bool    // run time learned from an answer
-	lanes  float64
 	places []place
 	held   int // inferences held here for a worker to have room
+
+	asked, askedAt float64 // inferences taken of late, and as of when
+	homes          int     // workers it should live on
 }
 
 // modelGroup is a model group with its settings.
@@ -188,7 +191,7 @@
 // tried tells whether a forward of this inference went to the worker and did not just miss there.
 func (r *inference) tried(w *worker) bool {
 	for i := range r.forwards[:r.n] {
-		if f := &r.forwards[i]; f.to == w && f.fate != fateNever {
+		if f := &r.forwards[i]; f.to == w && (f.fate != fateNever || f.full) {
 			return true
 		}
 	}
@@ -248,11 +251,18 @@
 	dirty   []*inference
 	orders  []*place // wanted load orders
 	waked   bool
+	sparse  bool      // own traffic is too thin for own ledgers to tell of the workers
+	changed bool      // something was heard since those held for room were tried
+	retried Seconds   // when they were
+	top     []*worker // homes of the model in hand, first in order first
+	probes  []*worker // wanted probes
+	counts  []int     // which values of a report tell inferences held
+
+	run            Seconds // smoothed warm answer time of all
+	asked, askedAt float64 // inferences taken of late, and as of when
 
 	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
 	fellows            float64 // dispatchers in all: each is taken to queue as much as we do
-	rate               float64 // own work sent a second, smoothed
-	rateAt             Seconds
 	ready, aside       int
 	askAt, askGap      Seconds // when discovery is asked next, and the gap after a failure
 	ration             ration
@@ -285,13 +295,6 @@
 	return sent, taken
 }
 
-// readGroup reads one model group of the settings.
-func readGroup(s Settings, i int) *modelGroup {
-	at := "groups." + strconv.Itoa(i) + "."
-	return &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
-		timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0)}
-}
-
 // mayHaveRun returns the earliest forward that may have run or is still out, nil if there is none.
 func (r *inference) mayHaveRun() *forward {
 	for i := range r.forwards[:r.n] {
@@ -362,3 +365,32 @@
 		}
 	}
 }
+
+// The events that call for nothing but a note.
+
+func (d *Dispatcher) At(now Seconds) { d.now = now }
+
+// Withdrawn takes note that the client left.
+func (d *Dispatcher) Withdrawn(id InferenceID) {
+	if r := d.hand.find(id); r != nil && r.want != wantDone {
+		d.end(r)
+	}
+}
+
+// Streaming takes note that the answer has begun: the forward is the client's now.
+func (d *Dispatcher) Streaming(id InferenceID, _ int, w WorkerID, _ Seconds) {
+	if r := d.hand.find(id); r != nil {
+		r.stream = true
+	}
+	if k := d.known[w]; k != nil {
+		k.answer = d.now
+	}
+}
+
+// Told takes a note of a fellow dispatcher; none is needed so far.
+func (d *Dispatcher) Told(PeerID, []byte) {}
+
+func (d *Dispatcher) Timer(TimerID) {
+	d.waked = false
+	d.look()
+}
