Blame at the narrowest scope; what no worker would answer in the client's time is shed at once

Change: failures and fulls go to one tenant and model group at a worker where the latest heard of others there was good (one record type for both scopes; silence of a model group no longer hides behind others' answers); a worker whose queued work outlasts the client's time takes none of it, and where that is all workers the inference is answered at once. Also guards slow workers and stalls; could harm where estimates are too high (queued work counts half, run time at most the SLO time). A second copy wanted in the batch of a miss was lost and its cancel a fault; places moved when workers joined.

--- a/control/control.go
+++ b/control/control.go
@@ -22,12 +22,12 @@
 	patience     = 3.0  // expected answer times until a forward is late: answer times spread about as wide
 	badBlend     = 0.2  // weight of one outcome in a worker's failure share: some five back
 	badAside     = 0.3  // failure share at which a worker is set aside: two failures close together
-	badBack      = 0.15 // failure share of one taken back: a single failure sets it aside again
 	trickleFirst = 1.0  // forwards a second let through to a worker set aside
 	trickleBack  = 16.0 // trickle at which it is taken back: four doublings
 	furtherShare = 0.3  // further forwards earned by each inference taken while all of them succeed
 	furtherLeast = 0.03 // and while none does, so that success can be seen again
 	furtherMost  = 30.0 // further forwards saved up at most: a short outage of one worker
+	blameSpan    = 5.0  // s within which a worker that did well by others is fit for them: a few own answers
 	crowdPause   = 0.1  // s without new work after a worker turned some away; doubles until it answers
 	crowdMost    = 2.0  // s, the most of it
 	roomPause    = 1.0  // s without load orders of a model after one found no room
@@ -51,7 +51,6 @@
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
-// New makes a dispatcher that comes up empty.
 func New(seed uint64, s Settings, a Actions) *Dispatcher {
 	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
 	d.known, d.hand.byID = map[WorkerID]*worker{}, map[InferenceID]int{}
@@ -95,8 +94,8 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), answer: d.now,
-				coldAt: math.Inf(-1), heldAt: math.Inf(-1)}
+			w = &worker{WorkerInfo: l, index: len(d.workers), coldAt: math.Inf(-1), heldAt: math.Inf(-1),
+				sides: make([]health, len(d.groups)*max(1, len(d.tenants)))}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -112,15 +111,15 @@
 // fresh forgets what was believed of a worker that started anew: it is empty, and owed a new judgement.
 func (d *Dispatcher) fresh(w *worker) {
 	for _, m := range d.models {
-		if w.index < len(m.places) {
+		if w.index < len(m.places) && m.places[w.index] != nil {
 			m.places[w.index].warm, m.places[w.index].noRoom = math.Inf(-1), 0
 		}
 	}
-	d.takeBack(w)
-	w.bad, w.crowd, w.coldAt = 0, 0, math.Inf(-1)
+	clear(w.sides)
+	w.health, w.coldAt = health{}, math.Inf(-1)
+	d.countReady()
 }
 
-// Inference takes one in.
 func (d *Dispatcher) Inference(q Inference) {
 	r := d.hand.take(q.ID)
 	r.group = d.groups[min(int(q.Group), len(d.groups)-1)]
@@ -136,12 +135,16 @@
 	d.asked, d.askedAt = 1+d.asked*math.Exp((d.askedAt-d.now)/homeSpan), d.now
 	r.model, r.taken, r.work = m, d.now, q.Work
 	d.sparse = d.taken() < sparseRate*float64(d.ready)
-	m.homes = d.spread(m)
+	if m.homes = 1; d.sparse { // nobody sees a home's queue in time: as many as keep its share below a worker's
+		m.homes = min(1+int(m.asked*float64(d.ready)/(homeShare*(d.asked+homeLeast))), max(1, d.ready/2))
+	}
 	r.repeat, r.notAfter = q.Repeat, math.Min(q.NotAfter, d.now+r.group.timeout)
 	if q.Work > 0 {
 		r.group.work += blend * (q.Work - r.group.work)
 	}
+	r.side = min(int(q.Group), len(d.groups)-1) * max(1, len(d.tenants))
 	if int(q.Tenant) < len(d.tenants) {
+		r.side += int(q.Tenant)
 		r.over = d.tenants[q.Tenant].beyond(d.now)
 	}
 	d.further = math.Min(furtherMost, d.further+furtherLeast+(furtherShare-furtherLeast)*d.furtherOK)
@@ -193,38 +196,34 @@
 	return 1
 }
 
-// open tells whether a worker takes a forward now. It guards cold workers (rule 4: forwards are spaced so
-// that no span holds more than our share of the budget) and lets a trickle through to those set aside;
-// where most look bad at once the cause is likely shared, and none counts as set aside.
+// open tells whether a worker takes a forward now: a cold one in turn (rule 4: turns by chance, at our share
+// of the budget), one set aside as a trickle; where most look bad the cause is shared, and none counts so.
 func (d *Dispatcher) open(r *inference, w *worker) bool {
-	if c := d.warmth(w); c < 1 {
-		if d.now > w.coldAt+d.set.Num("rules.fall", 1) { // not used in time: all fellows' unused turns add up
-			w.coldAt = d.now + 2*d.rnd.share()*d.coldGap(r, w, c)
+	if c, fall := d.warmth(w), d.set.Num("rules.fall", 1); c < 1 {
+		if d.now > w.coldAt+fall { // a turn not used in time lapses: all fellows' unused turns add up
+			seen := d.taken() / math.Max(1, float64(d.ready))
+			share := math.Max(1/(fall*d.fellows), coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
+			w.coldAt = d.now + 2*d.rnd.share()/share
 		}
 		if d.now < w.coldAt {
 			return false
 		}
 	}
-	if !w.aside || 2*d.aside > d.ready {
-		return true
+	for _, h := range [2]*health{&w.health, &w.sides[r.side]} {
+		if d.now < h.crowd || h.aside && (h != &w.health || 2*d.aside <= d.ready) &&
+			(d.now < h.next || r.group.effect == "non-retriable" && h.rate <= trickleFirst) {
+			return false
+		}
 	}
-	return d.now >= w.next && (r.group.effect != "non-retriable" || w.rate > trickleFirst)
-}
-
-// coldGap is how far apart our forwards to a cold worker are: their weight over our share of its budget.
-func (d *Dispatcher) coldGap(r *inference, w *worker, c float64) Seconds {
-	each := r.group.work
-	seen := d.taken() * each / math.Max(1, float64(d.ready))
-	least := each / (d.set.Num("rules.fall", 1) * d.fellows)
-	return each / math.Max(least, coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
+	return true
 }
 
 func (d *Dispatcher) spend(r *inference, w *worker) {
-	if c := d.warmth(w); c < 1 {
-		w.coldAt = d.now + 2*d.rnd.share()*d.coldGap(r, w, c)
-	}
-	if w.aside {
-		w.next = d.now + (0.5+d.rnd.share())/w.rate // not in step with fellow dispatchers
+	w.coldAt = math.Inf(-1)
+	for _, h := range [2]*health{&w.health, &w.sides[r.side]} {
+		if h.aside {
+			h.next = d.now + (0.5+d.rnd.share())/h.rate // not in step with fellow dispatchers
+		}
 	}
 }
 
@@ -238,17 +237,19 @@
 		}
 		return
 	}
-	pl := d.least(r, false)
-	if pl == nil || d.probe(r) {
+	switch pl := d.least(r, false); {
+	case pl == nil && r.hopeless && r.out == 0:
+		d.giveUp(r)
+	case pl == nil || d.probe(r):
 		d.hold(r, nil)
-		return
-	}
-	pl.group, pl.open, pl.count = pl.group+1, 0, 1
-	if pl.warm < d.now && !pl.cold {
-		pl.cold, pl.since, pl.load = true, d.now, r.model.load
-		pl.worker.loads += pl.load
+	default:
+		pl.group, pl.open, pl.count = pl.group+1, 0, 1
+		if pl.warm < d.now && !pl.cold {
+			pl.cold, pl.since, pl.load = true, d.now, r.model.load
+			pl.worker.loads += pl.load
+		}
+		d.send(r, pl)
 	}
-	d.send(r, pl)
 }
 
 // probe asks some homes of the model, by chance, what they hold, where that is allowed, own traffic is too
@@ -286,11 +287,13 @@
 // requests there take less than a load would; of several, where they take least.
 func (d *Dispatcher) join(r *inference) *place {
 	var best *place
-	for i := range r.model.places {
-		pl := &r.model.places[i]
+	for _, pl := range r.model.places {
+		if pl == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit {
+			continue
+		}
 		w := pl.worker
-		if w == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit || r.tried(w) || d.now < w.crowd ||
-			d.queue(w)+float64(pl.waiting)*r.model.run >= r.model.load ||
+		wait := d.queue(w) + float64(pl.waiting)*r.model.run
+		if r.tried(w) || wait >= r.model.load || d.now+wait/2+math.Min(r.model.run, r.group.slo)/2 > r.notAfter ||
 			!d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
 			continue
 		}
@@ -311,9 +314,8 @@
 	return float64(w.out-w.cold) < limit
 }
 
-// queue is the run time queued at a worker. Where workers report what they hold, that stands for fellows'
-// work, drawn to the fleet's mean as it ages; else each fellow is taken to queue as much as ours is there
-// over time, since all share the same homes of models.
+// queue is the run time queued at a worker: ours, and for fellows' what it reports to hold where own traffic
+// is sparse, else for each as much as ours is there over time, since all share the same homes of models.
 func (d *Dispatcher) queue(w *worker) Seconds {
 	if d.sparse && len(d.counts) > 0 {
 		return math.Max(w.work, d.holds(w)*d.run/atOnce)
@@ -336,30 +338,24 @@
 	return d.asked * math.Exp((d.askedAt-d.now)/homeSpan) / span
 }
 
-// spread is how many homes a model has. Where own traffic is sparse nobody sees a home's queue in time, so a
-// model has as many as keep its share of what we take below a part of a worker's.
-func (d *Dispatcher) spread(m *model) int {
-	if !d.sparse {
-		return 1
-	}
-	return min(1+int(m.asked*float64(d.ready)/(homeShare*(d.asked+homeLeast))), max(1, d.ready/2))
-}
-
-// least returns the place with least queued work, load included where no warm copy is believed. Costs
-// nearer than the estimate can tell apart are ties; they go by a hash of model and worker, which all
-// dispatchers share: so they agree unasked on where a model lives, and return to where a copy or an image
-// may still be.
+// least returns the place with least queued work, load included where no warm copy is believed. Costs too
+// near to tell apart are ties; they go by a hash of model and worker that all dispatchers share: so they
+// agree unasked on where a model lives, and return to where a copy or an image may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low := r.model, math.Inf(1)
-	d.top = d.top[:0]
+	d.top, r.hopeless = d.top[:0], false
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
-		if !d.may(r, w) || !d.open(r, w) || d.now < w.crowd {
+		if !d.may(r, w) || !d.open(r, w) {
 			continue
 		}
 		w.cost = (d.queue(w) + m.run) / d.warmth(w)
+		if d.now+d.queue(w)/2+math.Min(m.run, r.group.slo)/2 > r.notAfter {
+			w.cost, r.hopeless = math.Inf(1), true // the wait there outlasts the client
+			continue
+		}
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
-		w.cost += w.bad * (m.load + r.group.slo)
+		w.cost += math.Max(w.bad, w.sides[r.side].bad) * (m.load + r.group.slo)
 		if r.tried(w) {
 			w.cost += aheadOff
 		}
@@ -378,8 +374,6 @@
 				if warmOnly || pl.noRoom > d.now || w.noLoad > d.now || d.now+w.loads > r.notAfter {
 					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
 				}
-			} else if d.sparse && !home {
-				w.cost += m.run // fellows do not know of this copy, so it will not last
 			}
 			low = math.Min(low, w.cost)
 		}
@@ -404,10 +398,10 @@
 			best, top = w, h
 		}
 	}
-	if best != nil && d.room(r, best) {
-		return m.at(best)
+	if r.hopeless = r.hopeless && best == nil; best == nil || !d.room(r, best) {
+		return nil
 	}
-	return nil
+	return m.at(best)
 }
 
 // send wants a forward to a place and books it in the ledger.
@@ -449,7 +443,6 @@
 	}
 }
 
-// Outcome takes the end of a forward.
 func (d *Dispatcher) Outcome(o Outcome) {
 	r := d.hand.find(o.ID)
 	if r == nil || o.Forward < 0 || o.Forward >= r.n || r.forwards[o.Forward].fate != fateOut {
@@ -464,8 +457,9 @@
 	if f.fate = fateMay; o.Result.NeverRan() {
 		f.fate = fateNever
 	}
+	side := &w.sides[r.side]
 	if o.Result.Heard() {
-		w.answer = d.now
+		side.at, side.ok = d.now, o.Result == Returned || o.Result == Missed
 	}
 	d.report(w, o.Report, reportBlend)
 	if o.Result == Returned && o.Forward > 0 {
@@ -476,7 +470,8 @@
 	switch o.Result {
 	case Returned:
 		d.learn(r, f, o)
-		d.judge(w, true)
+		d.judge(&w.health, true)
+		d.judge(side, true)
 		if f.start == w.Start {
 			pl.warm = d.now + d.set.Num("models.keep", 0)
 		}
@@ -491,18 +486,19 @@
 			return
 		}
 	case Full:
-		f.full, w.fulls = d.sparse, w.fulls+1
-		until := d.now + math.Min(crowdPause*math.Exp2(w.fulls-1), crowdMost)
+		h := d.blame(w, r.side, f.sent-blameSpan)
+		f.full, h.fulls = d.sparse, h.fulls+1
+		until := d.now + math.Min(crowdPause*math.Exp2(h.fulls-1), crowdMost)
 		if f.load && m.homes == 1 { // no room for the copy, or too many loads: warm copies may still do well
 			w.noLoad = until
 		} else {
-			w.crowd = until
+			h.crowd = until
 		}
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if o.Found == LoadFailed {
 			pl.warm = math.Inf(-1)
 		} else if o.Result != TimedOut || d.now < r.notAfter-d.margin() {
-			d.judge(w, false)
+			d.judge(d.blame(w, r.side, f.sent-blameSpan), false)
 		}
 	}
 	d.settled(pl)
@@ -514,7 +510,6 @@
 	}
 }
 
-// learn takes run and load times from an answer.
 func (d *Dispatcher) learn(r *inference, f *forward, o Outcome) {
 	m, g := r.model, r.group
 	switch {
@@ -535,24 +530,34 @@
 	m.group.load += blend * (took - m.group.load)
 }
 
-// judge keeps a worker's failure share, sets it aside and brings it back by a trickle that doubles.
-func (d *Dispatcher) judge(w *worker, ok bool) {
-	if ok {
-		w.bad, w.fulls = w.bad-badBlend*w.bad, 0
-		if w.rate *= 2; w.aside && w.rate >= trickleBack {
-			d.takeBack(w)
+// blame finds the narrowest scope that a failure speaks of. Where the worker did well by another tenant or
+// model group since, and that is the latest heard of others, it speaks of this tenant and group there only.
+func (d *Dispatcher) blame(w *worker, side int, since Seconds) *health {
+	last := health{at: since}
+	for i, h := range w.sides {
+		if i != side && h.at > last.at {
+			last = h
 		}
-	} else if w.bad += badBlend * (1 - w.bad); w.bad > badAside || w.aside {
-		if !w.aside {
-			d.aside, w.aside = d.aside+1, true
-		}
-		w.rate, w.next = trickleFirst, d.now+1/trickleFirst
 	}
+	if last.ok {
+		return &w.sides[side]
+	}
+	return &w.health
 }
 
-func (d *Dispatcher) takeBack(w *worker) {
-	if w.aside {
-		d.aside, w.aside, w.bad = d.aside-1, false, badBack
+// judge keeps a failure share, sets aside by it and brings back by a trickle that doubles.
+func (d *Dispatcher) judge(h *health, ok bool) {
+	was := h.aside
+	if ok {
+		h.bad, h.fulls, h.rate = h.bad-badBlend*h.bad, 0, 2*h.rate
+		if h.aside && h.rate >= trickleBack {
+			h.aside, h.bad = false, badAside/2 // one more failure sets it aside again
+		}
+	} else if h.bad += badBlend * (1 - h.bad); h.bad > badAside || h.aside {
+		h.aside, h.rate, h.next = true, trickleFirst, d.now+1/trickleFirst
+	}
+	if h.aside != was {
+		d.countReady()
 	}
 }
 
@@ -593,7 +598,6 @@
 	return true
 }
 
-// Ordered takes the answer to a load order.
 func (d *Dispatcher) Ordered(o OrderResult) {
 	w, m := d.known[o.Worker], d.models[o.Model]
 	if w == nil || m == nil {
@@ -602,9 +606,6 @@
 	pl := m.at(w)
 	pl.ordered = false
 	stands := o.Result == Returned && o.Copies > 0
-	if o.Result.Heard() {
-		w.answer = d.now
-	}
 	if pl.warm = d.now + d.set.Num("models.keep", 0); stands {
 		d.loaded(m, o.Took)
 	} else {
@@ -614,10 +615,8 @@
 	d.release(pl, stands)
 }
 
-// Probed takes the answer to a probe.
 func (d *Dispatcher) Probed(o ProbeResult) {
 	if w := d.known[o.Worker]; w != nil && o.Result == Returned {
-		w.answer = d.now
 		d.report(w, o.Report, 1)
 	}
 	d.changed = true
@@ -654,16 +653,15 @@
 	}
 }
 
-// late answers silence: where nothing at all was heard from a worker since a forward that is far past its
-// expected time, or the worker is gone or new, it is set aside, and the forward gets a second copy where
-// the model group allows one. A worker that answers others is left to finish: the inference is just heavy.
+// late answers silence: a worker that answered none like it since a forward far past its expected time, or is
+// gone or new, has failed it, and a second copy goes out where allowed; else the inference is just heavy.
 func (d *Dispatcher) late(r *inference, f *forward) {
 	lost := f.to.State == Gone || f.to.Start != f.start
-	if !lost && (f.to.answer > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.group.slo/2)) {
+	if !lost && (f.to.sides[r.side].at > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.group.slo/2)) {
 		return
 	}
 	if f.hedged = true; !lost {
-		d.judge(f.to, false)
+		d.judge(d.blame(f.to, r.side, f.sent), false)
 	}
 	if d.set.Is("limits.second_copies") {
 		d.again(r)
--- a/control/state.go
+++ b/control/state.go
@@ -55,10 +55,12 @@
 	forwards [maxForwards]forward
 	n        int // forwards made
 	out      int // forwards without an outcome
+	side     int // its model group and tenant among a worker's sides
 	place    int // own place in the slab
 	live     bool
 	dirty    bool
 	stream   bool
+	hopeless bool // no worker would answer before its client leaves
 	probed   bool // workers were asked what they hold before it went out
 	repeat   bool // the client asked before, so the SLO time is hardly to be kept
 	over     bool // beyond its tenant's share
@@ -115,25 +117,32 @@
 	noRoom  Seconds // no copy can be had there until then
 }
 
+// health is what failures and answers told of one scope: a worker, or one tenant and model group there.
+type health struct {
+	bad   float64 // smoothed share of forwards that failed for the scope's own reasons
+	aside bool
+	rate  float64 // forwards a second let through while set aside
+	next  Seconds // no forward before then while set aside
+	crowd Seconds // turned work away; no new group until then
+	fulls float64 // times it turned work away since it last answered
+	at    Seconds // last answer
+	ok    bool    // which was a good one
+}
+
 // worker is one worker as this dispatcher knows it.
 type worker struct {
 	WorkerInfo
+	health
+	sides  []health // by model group and tenant
 	index  int
 	work   Seconds // run time of own forwards there
 	mean   Seconds // work, smoothed over time
 	meanAt Seconds
 	loads  Seconds // load times of own cold groups there
 	out    int
-	bad    float64 // smoothed share of forwards that failed for the worker's own reasons
-	answer Seconds // last sign of life
-	aside  bool
-	rate   float64 // forwards a second let through while set aside
-	next   Seconds // no forward before then while set aside
-	crowd  Seconds // turned work away; no new group until then
 	coldAt Seconds // cold budget: the next forward fits then
 	cold   int     // own forwards out that wait for a load
 	noLoad Seconds // it turned a load away; none until then
-	fulls  float64 // times it turned work away since it last answered
 	cost   Seconds // what the inference in hand would wait there
 	rank   uint64  // its place in the order of homes of the model in hand
 	hot    bool    // a copy of the model in hand is taken to stand there
@@ -149,7 +158,7 @@
 	load   Seconds // load time, told or learned
 	heard  bool    // load time learned from an answer
 	timed  bool    // run time learned from an answer
-	places []place
+	places []*place
 	held   int // inferences held here for a worker to have room
 
 	asked, askedAt float64 // inferences taken of late, and as of when
@@ -176,16 +185,15 @@
 	at    Seconds
 }
 
-// at returns the place of a model on a worker.
+// at returns the place of a model on a worker; it stays where it is, as inferences and orders point to it.
 func (m *model) at(w *worker) *place {
 	for len(m.places) <= w.index {
-		m.places = append(m.places, place{})
+		m.places = append(m.places, nil)
 	}
-	pl := &m.places[w.index]
-	if pl.worker == nil {
-		*pl = place{worker: w, model: m, warm: math.Inf(-1)}
+	if m.places[w.index] == nil {
+		m.places[w.index] = &place{worker: w, model: m, warm: math.Inf(-1)}
 	}
-	return pl
+	return m.places[w.index]
 }
 
 // tried tells whether a forward of this inference went to the worker and did not just miss there.
@@ -324,7 +332,9 @@
 // hold keeps an inference here: for a place's first answer or order, or (nil) for a worker to have room.
 func (d *Dispatcher) hold(r *inference, pl *place) {
 	if r.out > 0 {
-		r.want = wantOut
+		if r.want != wantForward { // a second copy wanted in the same batch still goes out
+			r.want = wantOut
+		}
 		return
 	}
 	r.want, r.waits = wantHold, pl
@@ -356,13 +366,16 @@
 	return over
 }
 
-// countReady counts the workers listed as ready.
+// countReady counts the workers listed as ready, and those set aside.
 func (d *Dispatcher) countReady() {
-	d.ready = 0
+	d.ready, d.aside = 0, 0
 	for _, w := range d.workers {
 		if w.State == Ready {
 			d.ready++
 		}
+		if w.aside {
+			d.aside++
+		}
 	}
 }
 
@@ -378,13 +391,10 @@
 }
 
 // Streaming takes note that the answer has begun: the forward is the client's now.
-func (d *Dispatcher) Streaming(id InferenceID, _ int, w WorkerID, _ Seconds) {
+func (d *Dispatcher) Streaming(id InferenceID, _ int, _ WorkerID, _ Seconds) {
 	if r := d.hand.find(id); r != nil {
 		r.stream = true
 	}
-	if k := d.known[w]; k != nil {
-		k.answer = d.now
-	}
 }
 
 // Told takes a note of a fellow dispatcher; none is needed so far.
