--- a/control/control.go
+++ b/control/control.go
@@ -78,7 +78,6 @@
 	return d
 }
 
-// Workers follows the list of workers. A fresh start clears all that was believed of the worker.
 func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
 	if kind == ListFailed {
 		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.set.Num("rules.ask_every", 10))
@@ -293,8 +292,8 @@
 		}
 		w := pl.worker
 		wait := d.queue(w) + float64(pl.waiting)*r.model.run
-		if r.tried(w) || wait >= r.model.load || d.now+wait/2+math.Min(r.model.run, r.group.slo)/2 > r.notAfter ||
-			!d.may(r, w) || !d.open(r, w) || !d.room(r, w) {
+		if r.tried(w) || wait >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
+			d.now+wait/atOnce+math.Min(r.model.run, r.group.slo)/2 > r.notAfter {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -342,18 +341,19 @@
 // near to tell apart are ties; they go by a hash of model and worker that all dispatchers share: so they
 // agree unasked on where a model lives, and return to where a copy or an image may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
-	m, low := r.model, math.Inf(1)
+	m, low, resting := r.model, math.Inf(1), false
 	d.top, r.hopeless = d.top[:0], false
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
-		if !d.may(r, w) || !d.open(r, w) {
+		if !d.may(r, w) {
 			continue
 		}
-		w.cost = (d.queue(w) + m.run) / d.warmth(w)
-		if d.now+d.queue(w)/2+math.Min(m.run, r.group.slo)/2 > r.notAfter {
-			w.cost, r.hopeless = math.Inf(1), true // the wait there outlasts the client
+		late := d.now+d.queue(w)/atOnce+math.Min(m.run, r.group.slo)/2 > r.notAfter // the wait outlasts the client
+		if open := d.open(r, w); !open || late {
+			resting, r.hopeless = resting || !open, r.hopeless || late
 			continue
 		}
+		w.cost = (d.queue(w) + m.run) / d.warmth(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
 		w.cost += math.Max(w.bad, w.sides[r.side].bad) * (m.load + r.group.slo)
 		if r.tried(w) {
@@ -398,7 +398,7 @@
 			best, top = w, h
 		}
 	}
-	if r.hopeless = r.hopeless && best == nil; best == nil || !d.room(r, best) {
+	if r.hopeless = r.hopeless && best == nil && !resting; best == nil || !d.room(r, best) {
 		return nil
 	}
 	return m.at(best)
