--- a/control/control.go
+++ b/control/control.go
@@ -33,7 +33,7 @@
 	roomPause    = 1.0  // s without load orders of a model after one found no room
 	coldSafety   = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	widthAll     = 8.0  // forwards of all dispatchers out at a worker; widths that follow answer times lost
+	widthAll     = 12.0 // forwards of all dispatchers out at a worker: 8 lost with few of them, 16 at two sites
 	widthLeast   = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
 	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
 	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
