--- /dev/null
+++ b/internal/gateway/classify.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"errors"
+	"strconv"
+
+	"mastchute/control"
+	"mastchute/internal/h1"
+	"mastchute/internal/http1"
+)
+
+// What follows is pure: it reads what a worker said.
+
+// told is what the head of a worker's answer says beside the answer itself.
+type told struct {
+	result control.Result
+	found  control.Found
+	crowd  int        // inferences of the model it held, -1 for not told
+	report [8]float64 // load report by the configured fields
+	fields int        // of the report; 0 for none
+	start  float64    // seconds since 1970; 0 for not told
+	copies int
+	memory float64 // MB, lanes and seconds of a load; 0 for not told
+	lanes  float64
+	load   float64
+}
+
+// classify reads the head of an answer. Only a 503 that says Mastchute-Ran: no is proof that nothing ran.
+func classify(h *http1.Head, fields []string) (t told) {
+	t.crowd = -1
+	ranNot, miss := false, false
+	for i := range h.Headers {
+		n, v := h.Headers[i].Name, h.Headers[i].Value
+		if len(n) < 9 {
+			continue
+		}
+		if http1.Is(n, "endpoint-load-metrics") {
+			t.fields = orca(v, fields, t.report[:])
+			continue
+		}
+		if n[0]|0x20 != 'm' || !http1.Is(n[:min(10, len(n))], "mastchute-") {
+			continue
+		}
+		switch rest := n[10:]; {
+		case http1.Is(rest, "ran"):
+			ranNot = http1.Is(v, "no")
+		case http1.Is(rest, "why"):
+			miss = http1.Is(v, "miss")
+		case http1.Is(rest, "found"):
+			switch string(v) {
+			case "warm":
+				t.found = control.FoundWarm
+			case "began":
+				t.found = control.BeganLoad
+			case "awaited":
+				t.found = control.AwaitedLoad
+			case "failed":
+				t.found = control.LoadFailed
+			}
+		case http1.Is(rest, "start"):
+			t.start = number(v)
+		case http1.Is(rest, "crowd"):
+			t.crowd = int(number(v))
+		case http1.Is(rest, "copies"):
+			t.copies = int(number(v))
+		case http1.Is(rest, "memory"):
+			t.memory = number(v)
+		case http1.Is(rest, "lanes"):
+			t.lanes = number(v)
+		case http1.Is(rest, "load"):
+			t.load = number(v)
+		}
+	}
+	switch {
+	case h.Status == 503 && ranNot && miss:
+		t.result = control.Missed
+	case h.Status == 503 && ranNot:
+		t.result = control.Full
+	case h.Status >= 500:
+		t.result = control.Errored
+	default:
+		t.result = control.Returned
+	}
+	return t
+}
+
+// number reads a decimal that is not negative, of at most 9 digits on either side of the point; 0 for anything else.
+func number(b []byte) float64 {
+	whole, part, scale, point := 0.0, 0.0, 1.0, false
+	if len(b) == 0 || len(b) > 24 {
+		return 0
+	}
+	for _, c := range b {
+		switch {
+		case c == '.' && !point:
+			point = true
+		case c < '0' || c > '9':
+			return 0
+		case point:
+			scale /= 10
+			part += float64(c-'0') * scale
+		default:
+			whole = whole*10 + float64(c-'0')
+		}
+	}
+	return whole + part
+}
+
+// orca reads a load report in ORCA's text form: TEXT name=value, named_metrics.name=value, ... It returns the number
+// of fields, 0 unless every one was told.
+func orca(b []byte, fields []string, out []float64) int {
+	if len(b) < 5 || string(b[:5]) != "TEXT " || len(fields) > len(out) {
+		return 0
+	}
+	seen := 0
+	for b = b[5:]; len(b) > 0; {
+		i := 0
+		for i < len(b) && b[i] != ',' {
+			i++
+		}
+		pair := b[:i]
+		b = b[min(i+1, len(b)):]
+		for len(pair) > 0 && pair[0] == ' ' {
+			pair = pair[1:]
+		}
+		eq := 0
+		for eq < len(pair) && pair[eq] != '=' {
+			eq++
+		}
+		if eq == len(pair) {
+			continue
+		}
+		name, value := pair[:eq], pair[eq+1:]
+		if len(name) > 14 && string(name[:14]) == "named_metrics." {
+			name = name[14:]
+		}
+		for k, f := range fields {
+			if string(name) == f && seen&(1<<k) == 0 {
+				out[k] = number(value)
+				seen |= 1 << k
+			}
+		}
+	}
+	if seen != 1<<len(fields)-1 {
+		return 0
+	}
+	return len(fields)
+}
+
+// lost tells what a call that ended without an answer proves: it never ran where no byte of it was written, and may
+// have run otherwise. A connection that was kept open and that the worker was closing is the classic trap: once a
+// byte was written to it, the forward may have run.
+func lost(err error, wrote bool) control.Result {
+	switch {
+	case wrote:
+		return control.Reset
+	case errors.Is(err, h1.ErrAbandoned):
+		return control.Moot
+	default:
+		return control.ConnectFailed
+	}
+}
+
+// modelPath splits /v2/models/NAME/VERB; ok is false for anything else. Percent escapes are not undone: a name with
+// one is another name.
+func modelPath(target []byte) (name, verb []byte, ok bool) {
+	const prefix = "/v2/models/"
+	for i, c := range target {
+		if c == '?' {
+			target = target[:i]
+			break
+		}
+	}
+	if len(target) <= len(prefix) || string(target[:len(prefix)]) != prefix {
+		return nil, nil, false
+	}
+	rest := target[len(prefix):]
+	for i, c := range rest {
+		if c == '/' {
+			return rest[:i], rest[i+1:], i > 0
+		}
+	}
+	return nil, nil, false
+}
+
+func appendSeconds(b []byte, s float64) []byte { return strconv.AppendFloat(b, s, 'f', 3, 64) }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,379 @@
+// Package gateway is the host around the decisions: it takes inferences from clients over HTTP/1.1, lets
+// control.Module decide, carries out its actions towards workers, and gives each inference its one final answer.
+//
+// It decides nothing about routing. What it adds are guards that hold whatever the decisions say: one final answer,
+// nothing sent after it, nothing sent to a worker that drains, an answer by the client's time. Each guard counts when
+// it acts. docs/host.md describes the order of events.
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mastchute/control"
+	"mastchute/internal/config"
+	"mastchute/internal/h1"
+	"mastchute/internal/http1"
+	"mastchute/internal/loop"
+	"mastchute/internal/roster"
+)
+
+const (
+	mostForwards = 8       // as many as the decisions' record holds
+	mostModels   = 100_000 // names kept; more are refused, so that clients cannot fill the memory with names
+	viewMost     = 1000    // inferences told in a status
+	helloSpan    = 1.0     // s a newly listed worker may take to tell its start, before it is listed without
+	stopPoll     = 0.01    // s between looks while stopping
+	stopLinger   = 1.5     // s for the last answers to be read after the last inference has ended
+	slotBits     = 20      // of an inference's id: its place; the rest counts uses of the place
+)
+
+// Start makes the decisions of a dispatcher.
+type Start func(seed uint64, s control.Settings, a control.Actions) control.Module
+
+// Gateway is one dispatcher. Its methods run on its loop, but for those that say otherwise.
+type Gateway struct {
+	Loop    *loop.Loop
+	Metrics *Metrics
+	Roster  *roster.Roster
+
+	cfg    *config.Config
+	log    zerolog.Logger
+	server *h1.Server
+	module control.Module
+	set    control.Settings
+	budget h1.Budget
+	epoch  float64 // seconds since 1970 at the loop's second 0
+	name   string  // of this start: what inference ids begin with
+	seq    uint64
+	batch  bool // the module has heard events since its last Settle
+
+	models  map[string]*model
+	modelID map[control.ModelID]*model
+	tenants map[string]int
+	groups  []*group
+	workers map[control.WorkerID]*worker
+
+	slab     []*inference
+	free     []int32
+	inHand   int
+	forwards []*forward // free ones
+	orders   []*order   // free ones
+	ended    []ending   // outcomes to be told in this turn
+	ending   []ending
+	tellFn   func()
+
+	subscribed bool
+	stopping   bool
+	stopBy     float64
+	stopTimer  loop.Timer
+	scratch    []byte
+	wakes      map[control.TimerID]*loop.Timer
+	exit       *Exit
+}
+
+// Exit tells how a gateway ended.
+type Exit struct {
+	Crash  string // the decisions failed: what they said
+	Failed int    // inferences that were failed because the stop's grace ran out
+}
+
+// model is one model by name.
+type model struct {
+	name   string
+	id     control.ModelID
+	group  *group
+	memory float64 // MB
+	lanes  float64
+	load   float64 // s
+}
+
+type group struct {
+	config.Group
+	index control.GroupID
+	meter groupMeter
+}
+
+// worker is a worker of the roster with its connections.
+type worker struct {
+	*roster.Worker
+	pool  *h1.Pool
+	told  bool // the decisions have been told of it
+	hello *order
+	meter workerMeter
+}
+
+// New makes a gateway that listens as configured. Run the loop to serve; at must be the configured address.
+func New(l *loop.Loop, cfg *config.Config, log zerolog.Logger, start Start) (*Gateway, error) {
+	g := &Gateway{Loop: l, cfg: cfg, log: log, set: cfg.Settings(), models: map[string]*model{},
+		modelID: map[control.ModelID]*model{}, tenants: map[string]int{}, workers: map[control.WorkerID]*worker{},
+		Roster: roster.New(config.WorkerID), wakes: map[control.TimerID]*loop.Timer{}, exit: &Exit{}}
+	g.epoch = float64(l.Origin().UnixNano()) / 1e9
+	g.name = cfg.Name + "-" + strconv.FormatInt(l.Origin().UnixMilli(), 36) + "-"
+	g.budget.Limit = cfg.Limits.Memory.Bytes
+	g.tellFn = g.tell
+	g.stopTimer.Fire = g.stopLook
+	g.Metrics = newMetrics(g)
+	for i, c := range cfg.Groups {
+		g.groups = append(g.groups, &group{Group: c, index: control.GroupID(i), meter: g.Metrics.group(c.Name)})
+	}
+	for i, t := range cfg.Tenants {
+		g.tenants[t.Name] = i
+	}
+	at, err := netip.ParseAddrPort(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	lim := cfg.Limits
+	g.server, err = h1.NewServer(l, at, g, h1.ServerOptions{
+		Limits:      http1.Limits{Line: min(8<<10, int(lim.Head.Bytes)), Head: int(lim.Head.Bytes), Headers: 100, Body: lim.Body.Bytes},
+		IdleTimeout: lim.IdleTimeout.Seconds, HeadTimeout: lim.HeadTimeout.Seconds, BodyTimeout: lim.BodyTimeout.Seconds,
+		Budget: &g.budget})
+	if err != nil {
+		return nil, err
+	}
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	l.OnTurn = g.turn
+	l.Later(func() {
+		g.begin()
+		g.guard(func() { g.module = start(seed, g.set, g) })
+		if g.module == nil {
+			return
+		}
+		g.guard(func() { g.module.At(l.Now()) })
+		list, err := Entries(cfg.Workers)
+		if err == nil {
+			err = g.Replace(roster.Config, list)
+		}
+		if err != nil {
+			g.log.Error().Err(err).Msg("workers of the settings not taken")
+		}
+		if g.cfg.Roster.Discovery == "push" {
+			g.subscribed = true
+			g.tellList(control.ListComplete)
+		} else {
+			g.tellList(control.ListCached)
+		}
+	})
+	return g, nil
+}
+
+// Entries turns configured workers into entries of the roster.
+func Entries(list []config.Worker) ([]roster.Entry, error) {
+	var out []roster.Entry
+	for _, w := range list {
+		addr, err := netip.ParseAddrPort(w.Address)
+		if err != nil {
+			return nil, err
+		}
+		e := roster.Entry{Name: w.Name, Addr: addr, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind, Weight: w.Weight, State: control.Ready}
+		if e.Weight == 0 {
+			e.Weight = 1
+		}
+		switch w.State {
+		case "draining":
+			e.State = control.Draining
+		case "gone":
+			e.State = control.Gone
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+// Addr is the address listened on. Safe before the loop runs.
+func (g *Gateway) Addr() netip.AddrPort { return g.server.Addr() }
+
+// Exit tells how it ended, once the loop has.
+func (g *Gateway) Exit() Exit { return *g.exit }
+
+// begin opens a batch of events: the module's clock is set once a turn.
+func (g *Gateway) begin() {
+	if !g.batch {
+		g.batch = true
+		g.clock()
+	}
+}
+
+// The calls of the ordinary path, each guarded without a closure.
+
+func (g *Gateway) clock() {
+	defer g.caught()
+	if g.module != nil {
+		g.module.At(g.Loop.Now())
+	}
+}
+
+func (g *Gateway) settle() {
+	defer g.caught()
+	g.module.Settle()
+}
+
+func (g *Gateway) inference(in *control.Inference) {
+	defer g.caught()
+	g.module.Inference(*in)
+}
+
+func (g *Gateway) outcome(o *control.Outcome) {
+	defer g.caught()
+	g.module.Outcome(*o)
+}
+
+func (g *Gateway) timer(id control.TimerID) {
+	defer g.caught()
+	g.module.Timer(id)
+}
+
+func (g *Gateway) caught() {
+	if v := recover(); v != nil {
+		g.crash(fmt.Sprint(v), debug.Stack())
+	}
+}
+
+// turn closes the batch.
+func (g *Gateway) turn() {
+	if !g.batch {
+		return
+	}
+	g.batch = false
+	if g.module != nil {
+		g.settle()
+	}
+}
+
+// guard runs decision code. A panic in it ends the dispatcher: all in hand is failed, nothing is guessed.
+func (g *Gateway) guard(f func()) {
+	defer g.caught()
+	if g.exit.Crash == "" {
+		f()
+	}
+}
+
+func (g *Gateway) crash(why string, stack []byte) {
+	g.exit.Crash = why
+	g.module = nil
+	g.log.Error().Str("panic", why).Str("stack", string(stack)).Int("in_hand", g.inHand).Msg("decision code failed; this dispatcher ends")
+	g.Loop.Later(func() {
+		g.server.Drain()
+		g.failAll("the dispatcher failed")
+		g.stopping, g.stopBy = true, g.Loop.Now()
+		g.stopLook()
+	})
+}
+
+// failAll gives everything in hand its final answer: failed, which promises nothing.
+func (g *Gateway) failAll(why string) int {
+	n := 0
+	for _, q := range g.slab {
+		if q.live && !q.final {
+			n++
+			g.finish(q, answerFailed, 502, 0, why)
+			g.begin()
+			if g.module != nil {
+				g.guard(func() { g.module.Withdrawn(q.id) })
+			}
+		}
+	}
+	return n
+}
+
+// Stop ends the gateway: nothing new is accepted, all in hand is answered, within grace seconds, and then the loop
+// stops. A second call shortens the grace.
+func (g *Gateway) Stop(grace float64) {
+	by := g.Loop.Now() + grace
+	if g.stopping {
+		g.stopBy = math.Min(g.stopBy, by)
+	} else {
+		g.log.Info().Int("in_hand", g.inHand).Float64("grace_s", grace).Msg("stopping")
+		g.stopping, g.stopBy = true, by
+		g.server.Drain()
+	}
+	g.stopLook()
+}
+
+func (g *Gateway) stopLook() {
+	now := g.Loop.Now()
+	if g.inHand > 0 && now >= g.stopBy {
+		if n := g.failAll("the dispatcher is stopping"); n > 0 {
+			g.exit.Failed += n
+			g.log.Warn().Int("failed", n).Msg("stop grace ran out; what was in hand is failed")
+		}
+	}
+	if !g.anyOpen() {
+		for _, w := range g.workers {
+			w.pool.Close()
+			w.pool.Abandon()
+		}
+		g.stopBy = math.Min(g.stopBy, now)
+		if g.Loop.Stats.Conns.Load() == 0 || now > g.stopBy+stopLinger || g.server.Conns() == 0 && g.lingered(now) {
+			g.log.Info().Msg("stopped")
+			g.Loop.Stop()
+			return
+		}
+	}
+	g.Loop.Start(&g.stopTimer, stopPoll)
+}
+
+// lingered gives the last answers some turns to leave the kernel.
+func (g *Gateway) lingered(now float64) bool { return now > g.stopBy+0.1 }
+
+// anyOpen tells whether anything still waits for its final answer.
+func (g *Gateway) anyOpen() bool {
+	for _, q := range g.slab {
+		if q.live && !q.final {
+			return true
+		}
+	}
+	return false
+}
+
+// SetLog changes the log in service.
+func (g *Gateway) SetLog(log zerolog.Logger, sample int) { g.log, g.cfg.Log.Sample = log, sample }
+
+// SetModels takes a new catalogue in service: models seen before keep what they are unless it names them anew.
+func (g *Gateway) SetModels(list []config.Model) {
+	g.cfg.Models = list
+	clear(g.models) // read anew on the next inference; ids stay
+}
+
+// lookup returns a model by its name, nil where the catalogue has none like it.
+func (g *Gateway) lookup(name []byte) (*model, error) {
+	if m := g.models[string(name)]; m != nil {
+		return m, nil
+	}
+	text := string(name)
+	for i := range g.cfg.Models {
+		c := &g.cfg.Models[i]
+		if !matches(c.Name, text) {
+			continue
+		}
+		id := config.ModelID(text)
+		if other := g.modelID[id]; other != nil && other.name != text {
+			return nil, fmt.Errorf("its id is that of model %s by chance", other.name)
+		}
+		if len(g.modelID) >= mostModels {
+			return nil, fmt.Errorf("too many model names were seen")
+		}
+		m := &model{name: text, id: id, memory: c.Memory.MB(), lanes: c.Lanes, load: c.Load.Seconds}
+		for _, q := range g.groups {
+			if q.Name == c.Group {
+				m.group = q
+			}
+		}
+		if m.group == nil {
+			return nil, fmt.Errorf("its model group %s is new: restart to use it", c.Group)
+		}
+		g.models[text], g.modelID[id] = m, m
+		return m, nil
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"mastchute/control"
+)
+
+// Metrics are the counters of one dispatcher. Counting on the loop is a few atomic additions: every label the
+// ordinary path needs is looked up once, ahead.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	orders, probes, listFailed prometheus.Counter
+	refusals, guards, taken    *prometheus.CounterVec
+	answered                   *prometheus.CounterVec
+	latency                    *prometheus.HistogramVec
+	forwards, ends             *prometheus.CounterVec
+}
+
+type groupMeter struct {
+	taken    prometheus.Counter
+	answered [answers]prometheus.Counter
+	latency  prometheus.Observer
+}
+
+func (m groupMeter) final(a answer, took float64) {
+	m.answered[a].Inc()
+	if a == answerReturned {
+		m.latency.Observe(took)
+	}
+}
+
+type workerMeter struct {
+	forwards prometheus.Counter
+	ends     [control.Missed + 1]prometheus.Counter
+}
+
+func (m workerMeter) ended(r control.Result) { m.ends[r].Inc() }
+
+var resultNames = [...]string{"returned", "errored", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot", "missed"}
+
+func newMetrics(g *Gateway) *Metrics {
+	m := &Metrics{Registry: prometheus.NewRegistry()}
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+		m.Registry.MustRegister(c)
+		return c
+	}
+	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+		m.Registry.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string, f func() float64) {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+	}
+	m.orders = counter("mastchute_load_orders_total", "Load orders sent to workers.")
+	m.probes = counter("mastchute_probes_total", "Probes sent to workers.")
+	m.listFailed = counter("mastchute_roster_failures_total", "Times a source of the list of workers could not be read.")
+	m.refusals = vec("mastchute_refusals_total", "Requests refused before an inference was taken, by reason.", "reason")
+	m.guards = vec("mastchute_guards_total", "Times the host barred what a rule forbids; each is a fault to report.", "guard")
+	m.taken = vec("mastchute_taken_total", "Inferences taken.", "group")
+	m.answered = vec("mastchute_answers_total", "Final answers, by kind; left means that the client went first.", "group", "answer")
+	m.forwards = vec("mastchute_forwards_total", "Forwards to workers.", "worker")
+	m.ends = vec("mastchute_forward_ends_total", "How forwards ended.", "worker", "result")
+	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "mastchute_returned_seconds",
+		Help: "Time from taking an inference to its returned answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}, []string{"group"})
+	m.Registry.MustRegister(m.latency, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	stats := &g.Loop.Stats
+	gauge("mastchute_connections", "Connections open, to clients and to workers.", func() float64 { return float64(stats.Conns.Load()) })
+	gauge("mastchute_accepted_total", "Connections accepted.", func() float64 { return float64(stats.Accepted.Load()) })
+	gauge("mastchute_no_descriptor_total", "Times accepting ran out of descriptors.", func() float64 { return float64(stats.NoDescriptor.Load()) })
+	gauge("mastchute_loop_turns_total", "Turns of the loop.", func() float64 { return float64(stats.Turns.Load()) })
+	gauge("mastchute_loop_late_seconds", "How late the latest timer fired.", func() float64 { return float64(stats.LateNs.Load()) / 1e9 })
+	gauge("mastchute_loop_longest_turn_seconds", "Longest turn of the loop so far.", func() float64 { return float64(stats.TurnNs.Load()) / 1e9 })
+	return m
+}
+
+func (m *Metrics) refused(why string) { m.refusals.WithLabelValues(why).Inc() }
+func (m *Metrics) guard(which string) { m.guards.WithLabelValues(which).Inc() }
+
+func (m *Metrics) group(name string) groupMeter {
+	g := groupMeter{taken: m.taken.WithLabelValues(name), latency: m.latency.WithLabelValues(name)}
+	for a := range answers {
+		g.answered[a] = m.answered.WithLabelValues(name, a.String())
+	}
+	return g
+}
+
+func (m *Metrics) worker(name string) workerMeter {
+	w := workerMeter{forwards: m.forwards.WithLabelValues(name)}
+	for r := range w.ends {
+		w.ends[r] = m.ends.WithLabelValues(name, resultNames[r])
+	}
+	return w
+}
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"github.com/rs/zerolog"
+
+	"mastchute/control"
+)
+
+// Status is what a dispatcher knows at one moment, for operators.
+type Status struct {
+	Name        string         `json:"name"`
+	Now         float64        `json:"now_s"` // seconds since its start
+	Stopping    bool           `json:"stopping"`
+	Crash       string         `json:"crash,omitempty"`
+	Version     uint32         `json:"roster_version"`
+	Taken       uint64         `json:"taken"`
+	InHand      int            `json:"in_hand"`
+	Connections int64          `json:"connections"`
+	Memory      int64          `json:"bodies_held_bytes"`
+	Workers     []WorkerStatus `json:"workers"`
+	Hand        []HandStatus   `json:"hand"`
+}
+
+// WorkerStatus is one worker.
+type WorkerStatus struct {
+	Name        string   `json:"name"`
+	Address     string   `json:"address"`
+	State       string   `json:"state"`
+	From        string   `json:"from"`
+	Version     uint32   `json:"version"`
+	Heard       float64  `json:"heard_s"`
+	Told        bool     `json:"told"`            // the decisions know of it
+	Age         *float64 `json:"age_s,omitempty"` // since its start, where told
+	Connections int      `json:"connections"`
+	Queued      int      `json:"queued"` // forwards that wait for a connection
+	Out         int      `json:"out"`
+	Work        float64  `json:"work_s"`
+	Bad         float64  `json:"bad"`
+	Aside       bool     `json:"aside"`
+	Report      float64  `json:"reported_inflight"`
+	Warm        []string `json:"warm"`
+}
+
+// HandStatus is one inference in hand.
+type HandStatus struct {
+	Inference string  `json:"inference"`
+	Model     string  `json:"model"`
+	Group     string  `json:"group"`
+	Age       float64 `json:"age_s"`
+	Left      float64 `json:"left_s"`
+	Forwards  int     `json:"forwards"`
+	Out       int     `json:"out"`
+	Why       string  `json:"why"`
+	At        string  `json:"at,omitempty"`
+}
+
+// viewer is what a module offers where it can be looked into.
+type viewer interface {
+	View(most int) ([]control.WorkerView, []control.HandView)
+}
+
+// Status takes a snapshot. On the loop.
+func (g *Gateway) Status() Status {
+	s := Status{Name: g.cfg.Name, Now: g.Loop.Now(), Stopping: g.stopping, Crash: g.exit.Crash, Version: g.Roster.Version,
+		Taken: g.seq, InHand: g.inHand, Connections: g.Loop.Stats.Conns.Load(), Memory: g.budget.Used,
+		Workers: []WorkerStatus{}, Hand: []HandStatus{}}
+	views := map[control.WorkerID]control.WorkerView{}
+	var hand []control.HandView
+	if v, ok := g.module.(viewer); ok && g.module != nil {
+		var list []control.WorkerView
+		g.guard(func() { list, hand = v.View(viewMost) })
+		for _, w := range list {
+			views[w.ID] = w
+		}
+	}
+	for _, r := range g.Roster.All() {
+		w := g.workers[r.ID]
+		if w == nil {
+			continue
+		}
+		v := views[r.ID]
+		ws := WorkerStatus{Name: r.Name, Address: r.Addr.String(), State: stateName(r.State), From: r.From.String(), Version: r.Version,
+			Heard: r.Heard, Told: w.told, Connections: w.pool.Conns(), Queued: w.pool.Queued(), Out: v.Out, Work: v.Work, Bad: v.Bad,
+			Aside: v.Aside, Report: v.Report, Warm: []string{}}
+		if r.Epoch > 0 {
+			age := s.Now - r.Start
+			ws.Age = &age
+		}
+		for _, m := range v.Warm {
+			if k := g.modelID[m]; k != nil {
+				ws.Warm = append(ws.Warm, k.name)
+			}
+		}
+		s.Workers = append(s.Workers, ws)
+	}
+	for _, h := range hand {
+		q := g.find(h.ID)
+		if q == nil {
+			continue
+		}
+		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.name, Group: q.model.group.Name, Age: h.Age, Left: h.Left,
+			Forwards: q.n, Out: h.Out, Why: h.Why}
+		if w := g.workers[h.At]; w != nil {
+			hs.At = w.Name
+		}
+		s.Hand = append(s.Hand, hs)
+	}
+	return s
+}
+
+// Ready tells whether there is a worker to forward to. On the loop.
+func (g *Gateway) Ready() bool { return g.ready() }
+
+// logFinal writes one line for a final answer: each at debug level, one of so many at info level. The time split is
+// in seconds: held until its last forward, connect until that was handed to a connection, worker until the answer.
+func (g *Gateway) logFinal(q *inference, a answer, status int, now float64) {
+	level := zerolog.DebugLevel
+	if n := g.cfg.Log.Sample; n > 0 && q.seq%uint64(n) == 0 {
+		level = zerolog.InfoLevel
+	}
+	if g.log.GetLevel() > level {
+		return
+	}
+	e := g.log.WithLevel(level).Str("inference", string(g.appendID(nil, q))).Str("model", q.model.name).
+		Str("group", q.model.group.Name).Stringer("answer", a).Int("status", status).Int("forwards", q.n)
+	if q.tenant >= 0 {
+		e = e.Str("tenant", g.cfg.Tenants[q.tenant].Name)
+	}
+	held := now - q.taken
+	if q.n > 0 {
+		f := q.forwards[q.n-1]
+		held = f.made - q.taken
+		e = e.Str("worker", f.w.Name)
+		if f.call.Peek > 0 {
+			e = e.Float64("connect_s", f.call.Peek-f.made).Float64("worker_s", now-f.call.Peek)
+		}
+	}
+	e.Float64("held_s", held).Float64("total_s", now-q.taken).Msg("final answer")
+}
--- /dev/null
+++ b/internal/h1/client.go
@@ -0,0 +1,358 @@
+package h1
+
+import (
+	"errors"
+	"io"
+	"net/netip"
+
+	"mastchute/internal/http1"
+	"mastchute/internal/loop"
+)
+
+// The ways a call ends without an answer, beside errors of the connection.
+var (
+	ErrAbandoned = errors.New("given up before it was sent")
+	ErrCut       = errors.New("the answer was cut short")
+	ErrPeer      = errors.New("the answer is malformed")
+)
+
+// PoolOptions bound a pool of connections to one peer; zero values mean the defaults.
+type PoolOptions struct {
+	Conns          int     // connections at a time; default 256
+	Idle           int     // idle ones kept; default 64
+	IdleTimeout    float64 // s an idle one is kept; default 15
+	ConnectTimeout float64 // s for a connection to come up; default 0.25
+}
+
+// Caller hears how a call goes. Its methods run on the loop.
+type Caller interface {
+	// Head gets the head of the answer, valid for this call only.
+	Head(h *http1.Head)
+	// Body gets a piece of the answer's body, valid for this call only.
+	Body(b []byte)
+	// End tells, once, that the answer is complete, or why not. It is not called after Cancel.
+	End(err error)
+}
+
+// Call is one request to a peer. It is meant to be a field of the record it serves.
+type Call struct {
+	Caller Caller
+	Peek   float64 // the loop's time when the request was handed to a connection that is up; 0 before
+	HEAD   bool
+
+	pool   *Pool
+	conn   *clientConn
+	head   []byte
+	body   []byte
+	from   uint64 // bytes of the connection before this request
+	queued bool
+	wrote  bool
+	given  bool // Abandon will end it
+}
+
+// Pool holds the connections to one peer.
+type Pool struct {
+	Loop   *loop.Loop
+	Addr   netip.AddrPort
+	opt    PoolOptions
+	idle   []*clientConn // the one used last at the end
+	all    map[*clientConn]struct{}
+	queue  []*Call
+	closed bool
+}
+
+// NewPool makes a pool; it opens connections as they are needed.
+func NewPool(l *loop.Loop, addr netip.AddrPort, opt PoolOptions) *Pool {
+	if opt.Conns <= 0 {
+		opt.Conns = 256
+	}
+	if opt.Idle <= 0 {
+		opt.Idle = 64
+	}
+	if opt.IdleTimeout <= 0 {
+		opt.IdleTimeout = 15
+	}
+	if opt.ConnectTimeout <= 0 {
+		opt.ConnectTimeout = 0.25
+	}
+	return &Pool{Loop: l, Addr: addr, opt: opt, all: map[*clientConn]struct{}{}}
+}
+
+// Conns is how many connections there are, idle ones included; Queued is how many calls wait for one.
+func (p *Pool) Conns() int { return len(p.all) }
+
+// Queued is how many calls wait for a connection.
+func (p *Pool) Queued() int { return len(p.queue) }
+
+// Do sends a request: head whole with its empty line, and body. Both are to stay as they are until the call has ended.
+func (p *Pool) Do(c *Call, head, body []byte) {
+	c.pool, c.conn, c.head, c.body, c.from, c.Peek, c.queued, c.given, c.wrote = p, nil, head, body, 0, 0, false, false, false
+	if n := len(p.idle); n > 0 {
+		conn := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.Loop.Cancel(&conn.timer)
+		conn.send(c)
+		return
+	}
+	if len(p.all) >= p.opt.Conns {
+		c.queued = true
+		p.queue = append(p.queue, c)
+		return
+	}
+	p.dial(c)
+}
+
+func (p *Pool) dial(c *Call) {
+	conn := &clientConn{pool: p, call: c, parser: http1.Parser{Limits: http1.Limits{Line: 8 << 10, Head: 64 << 10, Headers: 200}}}
+	conn.timer.Fire = conn.expire
+	p.all[conn] = struct{}{}
+	c.conn = conn
+	conn.conn = p.Loop.Dial(p.Addr, p.opt.ConnectTimeout, conn)
+}
+
+// next gives a connection's place to a call that waits.
+func (p *Pool) next(conn *clientConn) {
+	for len(p.queue) > 0 {
+		c := p.queue[0]
+		copy(p.queue, p.queue[1:])
+		p.queue[len(p.queue)-1] = nil
+		p.queue = p.queue[:len(p.queue)-1]
+		c.queued = false
+		if conn != nil {
+			conn.send(c)
+		} else {
+			p.dial(c)
+		}
+		return
+	}
+	if conn == nil {
+		return
+	}
+	if len(p.idle) >= p.opt.Idle || p.closed {
+		conn.drop()
+		return
+	}
+	p.idle = append(p.idle, conn)
+	p.Loop.Start(&conn.timer, p.opt.IdleTimeout)
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	for _, c := range p.idle {
+		c.drop()
+	}
+	p.idle = p.idle[:0]
+}
+
+// Abandon ends, with ErrAbandoned and soon, every call of which nothing was sent: those that wait for a connection,
+// and those whose connection is not up.
+func (p *Pool) Abandon() {
+	calls := append([]*Call(nil), p.queue...)
+	for conn := range p.all {
+		if conn.call != nil && !conn.conn.Up() {
+			calls = append(calls, conn.call)
+		}
+	}
+	for _, c := range calls {
+		c.Cancel()
+		c.given = true
+		p.Loop.Later(func() {
+			if c.given {
+				c.given = false
+				c.Caller.End(ErrAbandoned)
+			}
+		})
+	}
+}
+
+// Close closes the idle connections, and each other one after its call.
+func (p *Pool) Close() {
+	p.closed = true
+	p.CloseIdle()
+}
+
+// Cancel gives the call up: its connection is closed, and the caller hears no more.
+func (c *Call) Cancel() {
+	c.given = false
+	if c.queued {
+		for i, q := range c.pool.queue {
+			if q == c {
+				c.pool.queue = append(c.pool.queue[:i], c.pool.queue[i+1:]...)
+				break
+			}
+		}
+		c.queued = false
+		return
+	}
+	if conn := c.conn; conn != nil {
+		c.conn = nil
+		conn.call = nil
+		conn.drop()
+		c.pool.next(nil)
+	}
+}
+
+// Wrote tells whether any byte of the request has gone to the kernel: only without one it is sure that it never ran.
+// It is to be asked before the call is cancelled or used again.
+func (c *Call) Wrote() bool {
+	return c.wrote || c.conn != nil && c.Peek > 0 && c.conn.conn.Sent() > c.from
+}
+
+// Pause and Resume hold the answer's body back.
+func (c *Call) Pause() {
+	if c.conn != nil {
+		c.conn.conn.Pause()
+	}
+}
+
+// Resume undoes Pause.
+func (c *Call) Resume() {
+	if c.conn != nil {
+		c.conn.conn.Resume()
+	}
+}
+
+// clientConn is one connection to the peer; it carries one call at a time.
+type clientConn struct {
+	pool   *Pool
+	conn   *loop.Conn
+	call   *Call
+	parser http1.Parser
+	head   http1.Head
+	body   http1.Body
+	timer  loop.Timer
+	headed bool
+}
+
+func (c *clientConn) expire() {
+	for i, o := range c.pool.idle {
+		if o == c {
+			c.pool.idle = append(c.pool.idle[:i], c.pool.idle[i+1:]...)
+			c.drop()
+			return
+		}
+	}
+}
+
+func (c *clientConn) drop() {
+	c.pool.Loop.Cancel(&c.timer)
+	delete(c.pool.all, c)
+	c.conn.Close()
+}
+
+func (c *clientConn) send(call *Call) {
+	c.call, call.conn, c.headed = call, c, false
+	call.from, call.Peek = c.conn.Queued(), c.pool.Loop.Now()
+	c.conn.Write(call.head)
+	if len(call.body) > 0 {
+		c.conn.Write(call.body)
+	}
+}
+
+func (c *clientConn) Opened(*loop.Conn) {
+	if c.call != nil {
+		c.send(c.call)
+	} else {
+		c.pool.next(c)
+	}
+}
+
+func (c *clientConn) Drained(*loop.Conn) {}
+
+func (c *clientConn) Closed(_ *loop.Conn, err error) {
+	c.pool.Loop.Cancel(&c.timer)
+	delete(c.pool.all, c)
+	if c.call == nil {
+		for i, o := range c.pool.idle {
+			if o == c {
+				c.pool.idle = append(c.pool.idle[:i], c.pool.idle[i+1:]...)
+				break
+			}
+		}
+		return
+	}
+	if err == io.EOF && c.headed && c.body.ToEnd() {
+		err = nil
+	} else if c.headed {
+		err = ErrCut
+	}
+	call := c.call
+	c.call = nil
+	c.leave(call)
+	call.Caller.End(err)
+	c.pool.next(nil)
+}
+
+func (c *clientConn) Data(conn *loop.Conn, b []byte) int {
+	used := 0
+	for c.call != nil && conn.Open() {
+		if !c.headed {
+			n, err := c.parser.Answer(b[used:], &c.head)
+			if err != nil {
+				c.fail(ErrPeer)
+				return len(b)
+			}
+			if n == 0 {
+				return used
+			}
+			used += n
+			if c.head.Status < 200 {
+				continue
+			}
+			c.headed = true
+			c.body.ResetAnswer(&c.head, c.call.HEAD)
+			call := c.call
+			call.Caller.Head(&c.head)
+			if c.call != call {
+				return used
+			}
+		}
+		call := c.call
+		for !c.body.Done() {
+			data, n, err := c.body.Next(b[used:])
+			if err != nil {
+				c.fail(ErrPeer)
+				return len(b)
+			}
+			used += n
+			if len(data) > 0 {
+				if call.Caller.Body(data); c.call != call {
+					return used
+				}
+			}
+			if n == 0 || c.body.ToEnd() {
+				return used
+			}
+		}
+		// Whole. What stands behind it, or a request not wholly sent, spoils the connection for others.
+		reuse := !c.head.Close && used == len(b) && conn.Waiting() == 0
+		c.call = nil
+		c.leave(call)
+		call.Caller.End(nil)
+		if reuse {
+			c.pool.next(c)
+		} else {
+			c.drop()
+			c.pool.next(nil)
+		}
+		return used
+	}
+	if c.call == nil && conn.Open() && len(b) > used { // unasked bytes
+		c.expire()
+	}
+	return len(b)
+}
+
+// leave parts a call that ends from its connection, which may go on with others.
+func (c *clientConn) leave(call *Call) {
+	call.wrote, call.conn = call.Wrote(), nil
+}
+
+func (c *clientConn) fail(err error) {
+	call := c.call
+	c.call = nil
+	c.drop()
+	c.leave(call)
+	call.Caller.End(err)
+	c.pool.next(nil)
+}
--- /dev/null
+++ b/internal/h1/server.go
@@ -0,0 +1,490 @@
+// Package h1 joins the loop and the codec: HTTP/1.1 connections, the server's side and the client's. It moves
+// messages and knows nothing of inferences. All of it runs on the loop.
+package h1
+
+import (
+	"net/netip"
+
+	"mastchute/internal/http1"
+	"mastchute/internal/loop"
+)
+
+// Budget is memory that many may draw on. The zero Budget has no limit.
+type Budget struct {
+	Limit int64 // bytes; 0 means none
+	Used  int64
+}
+
+// Take books n bytes; false when they don't fit, and nothing is booked.
+func (b *Budget) Take(n int64) bool {
+	if b.Limit > 0 && b.Used+n > b.Limit {
+		return false
+	}
+	b.Used += n
+	return true
+}
+
+// ServerOptions bound a server; zero values mean the defaults.
+type ServerOptions struct {
+	Limits      http1.Limits // default http1.Usual
+	IdleTimeout float64      // s an idle connection is kept; default 60
+	HeadTimeout float64      // s for a head to come in whole; default 10
+	BodyTimeout float64      // s between two pieces of a body, and between two pieces the peer reads; default 30
+	Budget      *Budget      // bodies held are booked here; may be nil
+	StreamAhead int          // bytes of a streamed answer that may wait for the peer; default 256 KiB
+}
+
+// Service is what a server serves. Its methods run on the loop.
+type Service interface {
+	// Begin hears of a request whose head has come in. It returns 0 to read the body, or it has answered already.
+	Begin(x *Exchange) (answered bool)
+	// Request gets the whole request. It answers now or later, once.
+	Request(x *Exchange)
+	// Left tells that the peer has gone before the answer was complete. x is void after this.
+	Left(x *Exchange)
+	// Drained tells that a streamed answer has room again.
+	Drained(x *Exchange)
+	// Refused tells of a message that was refused below, for counting.
+	Refused(e *http1.Error)
+}
+
+// Server serves HTTP/1.1 on one listener.
+type Server struct {
+	Loop     *loop.Loop
+	Service  Service
+	opt      ServerOptions
+	listener *loop.Listener
+	conns    map[*serverConn]struct{}
+	free     []*Exchange
+	scratch  []byte
+	draining bool
+}
+
+// NewServer listens at an address and serves there.
+func NewServer(l *loop.Loop, at netip.AddrPort, s Service, opt ServerOptions) (*Server, error) {
+	if opt.Limits == (http1.Limits{}) {
+		opt.Limits = http1.Usual
+	}
+	for _, f := range []struct {
+		v       *float64
+		instead float64
+	}{{&opt.IdleTimeout, 60}, {&opt.HeadTimeout, 10}, {&opt.BodyTimeout, 30}} {
+		if *f.v <= 0 {
+			*f.v = f.instead
+		}
+	}
+	if opt.StreamAhead <= 0 {
+		opt.StreamAhead = 256 << 10
+	}
+	if opt.Budget == nil {
+		opt.Budget = &Budget{}
+	}
+	v := &Server{Loop: l, Service: s, opt: opt, conns: map[*serverConn]struct{}{}}
+	var err error
+	v.listener, err = l.Listen(at, v.accept)
+	return v, err
+}
+
+// Addr is the address listened on.
+func (v *Server) Addr() netip.AddrPort { return v.listener.Addr() }
+
+// Conns is how many connections are open.
+func (v *Server) Conns() int { return len(v.conns) }
+
+// Drain stops accepting, closes idle connections, and closes the others after the answer in hand.
+func (v *Server) Drain() {
+	v.draining = true
+	v.listener.Close()
+	for c := range v.conns {
+		if c.x == nil {
+			c.conn.CloseFlushed()
+			c.over()
+		}
+	}
+}
+
+// Close resets everything now; Service hears Left for what was in hand.
+func (v *Server) Close() {
+	v.listener.Close()
+	for c := range v.conns {
+		if c.x != nil {
+			v.Service.Left(c.x)
+		}
+		c.conn.Abort()
+		c.over()
+	}
+}
+
+func (v *Server) accept(conn *loop.Conn) loop.Handler {
+	c := &serverConn{v: v, conn: conn, parser: http1.Parser{Limits: v.opt.Limits}}
+	c.timer.Fire = c.expired
+	v.conns[c] = struct{}{}
+	v.Loop.Start(&c.timer, v.opt.HeadTimeout)
+	return c
+}
+
+// serverConn is one connection; it has an exchange only while a request is in hand.
+type serverConn struct {
+	v      *Server
+	conn   *loop.Conn
+	parser http1.Parser
+	timer  loop.Timer
+	x      *Exchange
+	begun  bool // part of a head has come in
+	inData bool
+}
+
+// Exchange is one request and its answer. It is void once answered.
+type Exchange struct {
+	Head  http1.Head
+	Body  []byte
+	Owner any // for the service
+	Peer  netip.AddrPort
+
+	c        *serverConn
+	head     []byte
+	decoder  http1.Body
+	booked   int64
+	whole    bool // the request is complete
+	stream   bool // the answer has begun and goes on
+	chunked  bool
+	headOnly bool
+	close    bool // the connection ends after this answer
+	drained  bool // the service waits for room
+}
+
+func (c *serverConn) Opened(*loop.Conn) {}
+
+func (c *serverConn) Closed(_ *loop.Conn, _ error) {
+	x := c.x
+	if x != nil {
+		c.v.Service.Left(x)
+	}
+	c.over()
+}
+
+// over lets go of a connection that has ended.
+func (c *serverConn) over() {
+	if c.x != nil {
+		c.v.put(c.x)
+		c.x = nil
+	}
+	c.v.Loop.Cancel(&c.timer)
+	delete(c.v.conns, c)
+}
+
+func (c *serverConn) Drained(*loop.Conn) {
+	if x := c.x; x != nil && x.drained {
+		x.drained = false
+		c.v.Service.Drained(x)
+	}
+}
+
+// expired ends a connection that is idle for too long, or a request that trickles.
+func (c *serverConn) expired() {
+	switch x := c.x; {
+	case x == nil && !c.begun:
+		c.conn.CloseFlushed()
+		c.over()
+	case x == nil:
+		c.refuse(&http1.Error{Status: 408, Reason: "the head did not come in whole in time"})
+	case !x.whole:
+		c.refuse(&http1.Error{Status: 408, Reason: "the body stalled"})
+	case x.stream: // the peer reads nothing
+		c.v.Service.Left(x)
+		c.conn.Abort()
+		c.over()
+	}
+}
+
+// refuse answers a message that is not taken, and ends the connection.
+func (c *serverConn) refuse(e *http1.Error) {
+	c.v.Service.Refused(e)
+	x := c.x
+	if x == nil {
+		x = c.take()
+	}
+	x.close = true
+	x.Problem(e.Status, e.Reason)
+}
+
+func (c *serverConn) take() *Exchange {
+	var x *Exchange
+	if n := len(c.v.free); n > 0 {
+		x, c.v.free = c.v.free[n-1], c.v.free[:n-1]
+	} else {
+		x = new(Exchange)
+	}
+	x.c, c.x, x.Peer = c, x, c.conn.Peer()
+	return x
+}
+
+func (v *Server) put(x *Exchange) {
+	v.opt.Budget.Used -= x.booked
+	headers, head, body := x.Head.Headers[:0], x.head[:0], x.Body[:0]
+	if cap(body) > 64<<10 {
+		body = nil
+	}
+	*x = Exchange{head: head, Body: body}
+	x.Head.Headers = headers
+	v.free = append(v.free, x)
+}
+
+func (c *serverConn) Data(_ *loop.Conn, b []byte) int {
+	used := 0
+	c.inData = true
+	defer func() { c.inData = false }()
+	for c.conn.Open() {
+		if c.x == nil {
+			if used == len(b) {
+				break
+			}
+			if n, more := c.readHead(b[used:]); !more {
+				return used + n
+			} else {
+				used += n
+			}
+			continue
+		}
+		if c.x.whole { // pipelined: it waits until this one is answered
+			if len(b)-used > c.v.opt.Limits.Head {
+				c.conn.Pause()
+			}
+			break
+		}
+		n, more := c.readBody(b[used:])
+		used += n
+		if !more {
+			break
+		}
+	}
+	return used
+}
+
+// readHead returns how many bytes it used, and whether to go on.
+func (c *serverConn) readHead(b []byte) (int, bool) {
+	x := c.take()
+	n, err := c.parser.Request(b, &x.Head)
+	if err != nil {
+		c.refuse(err.(*http1.Error))
+		return len(b), false
+	}
+	if n == 0 {
+		c.v.put(x)
+		c.x = nil
+		if !c.begun {
+			c.begun = true
+			c.v.Loop.Start(&c.timer, c.v.opt.HeadTimeout)
+		}
+		return 0, false
+	}
+	c.begun = false
+	old := b[:n]
+	x.head = append(x.head[:0], old...)
+	rebase(&x.Head, old, x.head)
+	x.decoder.ResetRequest(&x.Head, c.v.opt.Limits)
+	x.headOnly = http1.Is(x.Head.Method, "head")
+	x.close = x.Head.Close || c.v.draining
+	if c.v.Service.Begin(x) {
+		if c.x == x { // answered; the body was never read, so the connection cannot go on
+			c.fault()
+		}
+		return n, c.x == nil && c.conn.Open()
+	}
+	if x.Head.Length > 0 && !x.book(x.Head.Length) {
+		c.refuse(&http1.Error{Status: 503, Reason: "no memory left to hold the request"})
+		return len(b), false
+	}
+	if x.Head.Expect && !x.decoder.Done() {
+		c.conn.Write(continue100)
+	}
+	c.v.Loop.Start(&c.timer, c.v.opt.BodyTimeout)
+	return n, true
+}
+
+var continue100 = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+// fault guards against a service that claims an answer it has not given.
+func (c *serverConn) fault() { c.refuse(&http1.Error{Status: 500, Reason: "no answer"}) }
+
+func (x *Exchange) book(n int64) bool {
+	if !x.c.v.opt.Budget.Take(n) {
+		return false
+	}
+	x.booked += n
+	return true
+}
+
+func (c *serverConn) readBody(b []byte) (int, bool) {
+	x, used := c.x, 0
+	for !x.decoder.Done() {
+		data, n, err := x.decoder.Next(b[used:])
+		if err != nil {
+			c.refuse(err.(*http1.Error))
+			return len(b), false
+		}
+		if x.Head.Chunked && !x.book(int64(len(data))) {
+			c.refuse(&http1.Error{Status: 503, Reason: "no memory left to hold the request"})
+			return len(b), false
+		}
+		x.Body = append(x.Body, data...)
+		used += n
+		if n == 0 {
+			c.v.Loop.Start(&c.timer, c.v.opt.BodyTimeout)
+			return used, false
+		}
+	}
+	x.whole = true
+	c.v.Loop.Cancel(&c.timer)
+	c.v.Service.Request(x)
+	return used, true
+}
+
+// rebase lets the slices of a head point into a copy of the bytes they were parsed from.
+func rebase(h *http1.Head, old, now []byte) {
+	at := func(s []byte) []byte {
+		if len(s) == 0 {
+			return nil
+		}
+		i := cap(old) - cap(s)
+		return now[i : i+len(s) : i+len(s)]
+	}
+	h.Method, h.Target = at(h.Method), at(h.Target)
+	for i := range h.Headers {
+		h.Headers[i].Name, h.Headers[i].Value = at(h.Headers[i].Name), at(h.Headers[i].Value)
+	}
+}
+
+// Start begins an answer: it returns bytes to append header lines to, for Finish or Stream.
+func (x *Exchange) Start(status int) []byte {
+	b := http1.AppendStatus(x.c.v.scratch[:0], status)
+	x.close = x.close || !x.whole && !x.decoder.Done() // a body not read would be taken for the next request
+	if x.close || x.c.v.draining {
+		x.close = true
+		b = append(b, "Connection: close\r\n"...)
+	} else if x.Head.Minor == 0 {
+		b = append(b, "Connection: keep-alive\r\n"...)
+	}
+	return b
+}
+
+// Finish ends the head with a length, and sends the body. x is void then.
+func (x *Exchange) Finish(b []byte, body []byte) {
+	b = http1.AppendLength(b, int64(len(body)))
+	b = append(b, "\r\n"...)
+	if !x.headOnly {
+		if len(body) <= 16<<10 {
+			b = append(b, body...)
+			body = nil
+		}
+	} else {
+		body = nil
+	}
+	x.c.conn.Write(b)
+	if len(body) > 0 {
+		x.c.conn.Write(body)
+	}
+	x.keep(b)
+	x.done()
+}
+
+func (x *Exchange) keep(b []byte) {
+	if cap(b) > cap(x.c.v.scratch) && cap(b) <= 64<<10 {
+		x.c.v.scratch = b[:0]
+	}
+}
+
+// Stream ends the head and lets a body of the given length follow by Write and End; -1 means that it is not known.
+func (x *Exchange) Stream(b []byte, length int64) {
+	if x.stream = true; length >= 0 {
+		b = http1.AppendLength(b, length)
+	} else if x.Head.Minor == 1 {
+		x.chunked = true
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	} else {
+		x.close = true
+	}
+	x.c.conn.Write(append(b, "\r\n"...))
+	x.keep(b)
+	x.c.v.Loop.Start(&x.c.timer, x.c.v.opt.BodyTimeout)
+}
+
+// Write sends a piece of a streamed body. It returns false when the sender should wait for Drained.
+func (x *Exchange) Write(data []byte) bool {
+	if !x.headOnly {
+		if x.chunked {
+			b := http1.AppendChunk(x.c.v.scratch[:0], data)
+			x.c.conn.Write(b)
+			x.keep(b)
+		} else {
+			x.c.conn.Write(data)
+		}
+	}
+	if x.c.conn.Waiting() > x.c.v.opt.StreamAhead {
+		x.drained = true
+		return false
+	}
+	x.c.v.Loop.Start(&x.c.timer, x.c.v.opt.BodyTimeout)
+	return true
+}
+
+// End ends a streamed answer. x is void then.
+func (x *Exchange) End() {
+	if x.chunked && !x.headOnly {
+		x.c.conn.Write([]byte(http1.LastChunk))
+	}
+	x.done()
+}
+
+// Break cuts a streamed answer off: the peer sees that it is not whole. x is void then.
+func (x *Exchange) Break() {
+	c := x.c
+	if c == nil { // it has ended by itself meanwhile
+		return
+	}
+	c.conn.Abort()
+	c.over()
+}
+
+// done ends the exchange and goes on with the connection.
+func (x *Exchange) done() {
+	c := x.c
+	closes := x.close
+	c.x = nil
+	c.v.put(x)
+	if closes {
+		c.conn.CloseFlushed()
+		c.over()
+		return
+	}
+	c.v.Loop.Start(&c.timer, c.v.opt.IdleTimeout)
+	c.conn.Resume()
+	if !c.inData {
+		c.conn.Again()
+	}
+}
+
+// Problem answers with an RFC 9457 problem, which is for refusals and errors.
+func (x *Exchange) Problem(status int, detail string) {
+	x.Finish(http1.AppendHeader(x.Start(status), "Content-Type", ProblemType), AppendProblem(nil, status, detail))
+}
+
+// ProblemType is the media type of an RFC 9457 problem.
+const ProblemType = "application/problem+json"
+
+// AppendProblem appends an RFC 9457 problem. detail is to need no escapes.
+func AppendProblem(b []byte, status int, detail string) []byte {
+	b = append(b, `{"type":"about:blank","title":"`...)
+	b = append(b, http1.Reason(status)...)
+	b = append(b, `","status":`...)
+	b = append(b, byte('0'+status/100), byte('0'+status/10%10), byte('0'+status%10))
+	b = append(b, `,"detail":"`...)
+	b = append(b, detail...)
+	return append(b, "\"}\n"...)
+}
+
+// CloseAfter lets the connection end after this answer.
+func (x *Exchange) CloseAfter() { x.close = true }
+
+// Waiting is how many bytes of the answer wait for the peer.
+func (x *Exchange) Waiting() int { return x.c.conn.Waiting() }
--- /dev/null
+++ b/internal/http1/body.go
@@ -0,0 +1,174 @@
+package http1
+
+import "bytes"
+
+const (
+	chunkLine  = 256      // bytes of a chunk's size line, extensions included
+	trailerAll = 8 << 10  // bytes of all trailers
+	chunkWaste = 16 << 10 // bytes beside data that many small chunks may add up to
+)
+
+// Body decodes the body that follows a head. Reset starts it anew.
+type Body struct {
+	state  bodyState
+	left   int64 // of the length, or of the chunk
+	limit  int64 // bytes that may still come
+	waste  int64 // bytes beside data, eased by the data that came
+	trails int   // bytes of trailers read
+}
+
+type bodyState uint8
+
+const (
+	bodyDone bodyState = iota
+	bodyLength
+	bodyToEnd // an answer that ends with its connection
+	bodySize  // at a chunk's size line
+	bodyChunk
+	bodyChunkEnd // at the CRLF after a chunk
+	bodyTrailer
+)
+
+// ResetRequest prepares for the body of a request.
+func (d *Body) ResetRequest(h *Head, lim Limits) {
+	*d = Body{limit: lim.Body}
+	if h.Chunked {
+		d.state = bodySize
+	} else if h.Length > 0 {
+		d.state, d.left = bodyLength, h.Length
+	}
+}
+
+// ResetAnswer prepares for the body of an answer to a request, HEAD or not. An answer has no size limit here.
+func (d *Body) ResetAnswer(h *Head, head bool) {
+	*d = Body{limit: 1 << 62}
+	switch {
+	case head || h.Status < 200 || h.Status == 204 || h.Status == 304 || h.Length == 0:
+	case h.Chunked:
+		d.state = bodySize
+	case h.Length > 0:
+		d.state, d.left = bodyLength, h.Length
+	default:
+		d.state = bodyToEnd
+	}
+}
+
+// Done tells whether the body is complete.
+func (d *Body) Done() bool { return d.state == bodyDone }
+
+// ToEnd tells whether the body ends with its connection.
+func (d *Body) ToEnd() bool { return d.state == bodyToEnd }
+
+// Next decodes from the start of b. It returns a piece of the body (part of b, perhaps empty) and how many bytes it
+// used, framing included. Call it again with the rest until it uses nothing or Done.
+func (d *Body) Next(b []byte) (data []byte, used int, err error) {
+	for {
+		rest := b[used:]
+		switch d.state {
+		case bodyDone:
+			return nil, used, nil
+		case bodyToEnd:
+			return rest, len(b), nil
+		case bodyLength, bodyChunk:
+			n := int(min(int64(len(rest)), d.left))
+			if d.left -= int64(n); d.left == 0 && d.state == bodyLength {
+				d.state = bodyDone
+			} else if d.left == 0 {
+				d.state = bodyChunkEnd
+			}
+			return rest[:n], used + n, nil
+		case bodySize:
+			line, n, err := d.line(rest, chunkLine)
+			if n == 0 || err != nil {
+				return nil, used, err
+			}
+			size, err := chunkSize(line)
+			if err != nil {
+				return nil, used, err
+			}
+			if d.waste = max(0, d.waste+int64(n)-16-2*size); d.waste > chunkWaste {
+				return nil, used, ErrChunkWaste
+			}
+			if d.limit -= size; d.limit < 0 {
+				return nil, used, ErrBodyLong
+			}
+			used += n
+			if d.state, d.left = bodyChunk, size; size == 0 {
+				d.state = bodyTrailer
+			}
+		case bodyChunkEnd:
+			if len(rest) < 2 {
+				if len(rest) == 1 && rest[0] != '\r' {
+					return nil, used, ErrChunk
+				}
+				return nil, used, nil
+			}
+			if rest[0] != '\r' || rest[1] != '\n' {
+				return nil, used, ErrChunk
+			}
+			used += 2
+			d.state = bodySize
+		case bodyTrailer:
+			line, n, err := d.line(rest, trailerAll)
+			if n == 0 || err != nil {
+				return nil, used, err
+			}
+			used += n
+			if len(line) == 0 {
+				d.state = bodyDone
+				continue
+			}
+			if d.trails += n; d.trails > trailerAll {
+				return nil, used, ErrHeadLong
+			}
+			i := bytes.IndexByte(line, ':')
+			if i < 0 || !token(line[:i]) {
+				return nil, used, ErrName
+			}
+			for _, c := range line[i:] {
+				if c < ' ' && c != '\t' || c == 0x7f {
+					return nil, used, ErrValue
+				}
+			}
+		}
+	}
+}
+
+// line takes one line that ends in CRLF; n is 0 while it is not there whole.
+func (d *Body) line(b []byte, most int) (line []byte, n int, err error) {
+	i := bytes.IndexByte(b, '\n')
+	switch {
+	case i < 0 && len(b) > most || i > most:
+		return nil, 0, ErrChunk
+	case i < 0:
+		return nil, 0, nil
+	case i == 0 || b[i-1] != '\r' || bytes.IndexByte(b[:i-1], '\r') >= 0:
+		return nil, 0, ErrBareLF
+	}
+	return b[:i-1], i + 1, nil
+}
+
+// chunkSize reads a size line. Extensions are passed over; spaces before them are refused.
+func chunkSize(line []byte) (int64, error) {
+	n, i := int64(0), 0
+	for ; i < len(line) && isHex(line[i]); i++ {
+		c := line[i]
+		if digit(c) {
+			c -= '0'
+		} else {
+			c = c | 0x20 - 'a' + 10
+		}
+		if n = n<<4 | int64(c); i >= 15 {
+			return 0, ErrChunk
+		}
+	}
+	if i == 0 || i < len(line) && line[i] != ';' {
+		return 0, ErrChunk
+	}
+	for _, c := range line[i:] {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return 0, ErrChunk
+		}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/http1/write.go
@@ -0,0 +1,119 @@
+package http1
+
+import "strconv"
+
+// The writers append to b and return it, as append does.
+
+// AppendStatus appends a status line.
+func AppendStatus(b []byte, status int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, Reason(status)...)
+	return append(b, "\r\n"...)
+}
+
+// AppendRequest appends a request line.
+func AppendRequest(b []byte, method, target string) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	return append(b, " HTTP/1.1\r\n"...)
+}
+
+// AppendHeader appends a header line. Name and value are to be clean already: they come from a parsed head or from us.
+func AppendHeader[T string | []byte](b []byte, name string, value T) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// AppendLength appends Content-Length.
+func AppendLength(b []byte, n int64) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, n, 10)
+	return append(b, "\r\n"...)
+}
+
+// AppendChunk appends one chunk; an empty one is left out, as it would end the body.
+func AppendChunk(b, data []byte) []byte {
+	if len(data) == 0 {
+		return b
+	}
+	b = strconv.AppendInt(b, int64(len(data)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, data...)
+	return append(b, "\r\n"...)
+}
+
+// LastChunk ends a chunked body.
+const LastChunk = "0\r\n\r\n"
+
+// HopByHop tells whether a header belongs to one connection only and is not passed on (RFC 9110, 7.6.1).
+func HopByHop(name []byte) bool {
+	switch name[0] | 0x20 {
+	case 'c':
+		return Is(name, "connection") || Is(name, "content-length")
+	case 'k':
+		return Is(name, "keep-alive")
+	case 'p':
+		return Is(name, "proxy-connection") || Is(name, "proxy-authenticate") || Is(name, "proxy-authorization")
+	case 't':
+		return Is(name, "te") || Is(name, "trailer") || Is(name, "transfer-encoding")
+	case 'u':
+		return Is(name, "upgrade")
+	case 'e':
+		return Is(name, "expect")
+	case 'h':
+		return Is(name, "host")
+	}
+	return false
+}
+
+// Reason is the usual phrase of a status.
+func Reason(status int) string {
+	switch status {
+	case 100:
+		return "Continue"
+	case 200:
+		return "OK"
+	case 202:
+		return "Accepted"
+	case 204:
+		return "No Content"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
+	case 409:
+		return "Conflict"
+	case 413:
+		return "Content Too Large"
+	case 414:
+		return "URI Too Long"
+	case 417:
+		return "Expectation Failed"
+	case 429:
+		return "Too Many Requests"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 500:
+		return "Internal Server Error"
+	case 501:
+		return "Not Implemented"
+	case 502:
+		return "Bad Gateway"
+	case 503:
+		return "Service Unavailable"
+	case 504:
+		return "Gateway Timeout"
+	case 505:
+		return "HTTP Version Not Supported"
+	}
+	return "Status"
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,229 @@
+// Package roster keeps the list of workers: which sources name them, in which state, as of which version, and when
+// each change was heard. It is pure: no I/O, no clock. Where sources disagree the stricter word holds: gone before
+// draining before ready; what the admin interface said of a worker holds until it is taken back there.
+package roster
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+
+	"mastchute/control"
+)
+
+// Source says who names a worker.
+type Source uint8
+
+const (
+	Config Source = iota
+	File
+	Admin
+	sources
+)
+
+func (s Source) String() string { return [...]string{"config", "file", "admin"}[s] }
+
+// Entry is a worker as a source names it.
+type Entry struct {
+	Name   string
+	Addr   netip.AddrPort
+	Zone   string
+	Cell   string
+	Kind   string
+	Weight float64
+	State  control.WorkerState
+}
+
+// Worker is a worker as all sources together have it.
+type Worker struct {
+	Entry
+	ID      control.WorkerID
+	Start   float64 // s on the dispatcher's clock of its latest start heard of, -Inf for not told
+	Epoch   float64 // the same as the worker tells it, seconds since 1970; 0 for not told
+	Version uint32  // of the list when it last changed
+	Heard   float64 // s on the dispatcher's clock when that was
+	From    Source  // the source whose word holds
+	Listed  bool    // some source names it still
+
+	said    [sources]Entry
+	named   [sources]bool
+	ruled   bool // the admin interface has spoken of its state
+	ruling  control.WorkerState
+	current control.WorkerInfo
+}
+
+// Roster is the list. Make it by New.
+type Roster struct {
+	Version uint32
+	byID    map[control.WorkerID]*Worker
+	order   []*Worker
+	id      func(string) control.WorkerID
+	zones   intern
+	cells   intern
+	kinds   intern
+}
+
+// intern numbers names in order of sight; 0 is the empty name.
+type intern map[string]int
+
+func (n intern) of(name string) int {
+	if name == "" {
+		return 0
+	}
+	if _, ok := n[name]; !ok {
+		n[name] = len(n) + 1
+	}
+	return n[name]
+}
+
+// New makes an empty list; id tells the id of a name.
+func New(id func(string) control.WorkerID) *Roster {
+	return &Roster{byID: map[control.WorkerID]*Worker{}, id: id, zones: intern{}, cells: intern{}, kinds: intern{}}
+}
+
+// All lists the workers, by name, those gone included.
+func (r *Roster) All() []*Worker { return r.order }
+
+// Find returns a worker by id, nil if there is none.
+func (r *Roster) Find(id control.WorkerID) *Worker { return r.byID[id] }
+
+// Named returns a worker by name, nil if there is none.
+func (r *Roster) Named(name string) *Worker {
+	if w := r.byID[r.id(name)]; w != nil && w.Name == name {
+		return w
+	}
+	return nil
+}
+
+// Replace sets what a source names: workers it named before and does not name now are taken off its list. It returns
+// the workers whose line changed. An id that two names share is refused by name, and nothing is changed.
+func (r *Roster) Replace(s Source, list []Entry, now float64) ([]*Worker, error) {
+	seen := map[control.WorkerID]string{}
+	for _, e := range list {
+		id := r.id(e.Name)
+		if other, ok := seen[id]; ok {
+			return nil, fmt.Errorf("workers %q and %q have the same id: rename one", other, e.Name)
+		}
+		if w := r.byID[id]; w != nil && w.Name != e.Name {
+			return nil, fmt.Errorf("workers %q and %q have the same id: rename one", w.Name, e.Name)
+		}
+		seen[id] = e.Name
+	}
+	for _, w := range r.order {
+		if _, ok := seen[w.ID]; !ok {
+			w.named[s] = false
+		}
+	}
+	for _, e := range list {
+		r.put(s, e)
+	}
+	return r.settle(now), nil
+}
+
+func (r *Roster) put(s Source, e Entry) {
+	w := r.byID[r.id(e.Name)]
+	if w == nil {
+		w = &Worker{Entry: e, ID: r.id(e.Name), Start: math.Inf(-1)}
+		r.byID[w.ID] = w
+		i, _ := slices.BinarySearchFunc(r.order, w, func(a, b *Worker) int { return cmp.Compare(a.Name, b.Name) })
+		r.order = slices.Insert(r.order, i, w)
+	}
+	w.said[s], w.named[s] = e, true
+}
+
+// Rule sets what the admin interface says of a worker's state; a worker it does not know yet needs an address.
+func (r *Roster) Rule(e Entry, now float64) ([]*Worker, error) {
+	w := r.Named(e.Name)
+	if w == nil || !w.Listed {
+		if !e.Addr.IsValid() {
+			return nil, fmt.Errorf("worker %q is not listed: give its address", e.Name)
+		}
+		if other := r.byID[r.id(e.Name)]; other != nil && other.Name != e.Name {
+			return nil, fmt.Errorf("workers %q and %q have the same id: rename one", other.Name, e.Name)
+		}
+	}
+	if e.Addr.IsValid() {
+		if w != nil && w.Addr.IsValid() && w.Listed && w.Addr != e.Addr && !w.named[Admin] {
+			return nil, fmt.Errorf("worker %q is listed at %s: its address is changed where it is listed", e.Name, w.Addr)
+		}
+		state := e.State
+		e.State = control.Ready
+		r.put(Admin, e)
+		e.State = state
+		w = r.Named(e.Name)
+	}
+	w.ruled, w.ruling = e.State != control.Ready, e.State
+	return r.settle(now), nil
+}
+
+// Started notes the start that a worker tells of itself (seconds since 1970, and the same on the dispatcher's clock).
+// It returns true where that is news: an empty, cold worker under the old name.
+func (r *Roster) Started(w *Worker, epoch, start, now float64) bool {
+	if epoch <= w.Epoch {
+		return false // an answer that was under way, or nothing new
+	}
+	w.Epoch, w.Start = epoch, start
+	r.Version++
+	w.Version, w.Heard = r.Version, now
+	w.current = r.info(w)
+	return true
+}
+
+// settle works out each worker's line, and returns those that changed.
+func (r *Roster) settle(now float64) []*Worker {
+	var changed []*Worker
+	for _, w := range r.order {
+		was, listed := w.current, w.Listed
+		w.Listed = false
+		state := control.Ready
+		addr := w.Addr
+		for s := Config; s < sources; s++ {
+			if !w.named[s] {
+				continue
+			}
+			if e := w.said[s]; !w.Listed {
+				w.Listed, w.From = true, s
+				w.Entry = e
+				state = e.State
+			} else if strict(e.State) > strict(state) {
+				state, w.From = e.State, s
+			}
+		}
+		if !w.Listed {
+			state = control.Gone
+		} else if w.ruled && strict(w.ruling) > strict(state) {
+			state, w.From = w.ruling, Admin
+		}
+		w.State = state
+		if w.current = r.info(w); w.current != was || w.Listed != listed || addr != w.Addr {
+			changed = append(changed, w)
+		}
+	}
+	if len(changed) > 0 {
+		r.Version++
+	}
+	for _, w := range changed {
+		w.Version, w.Heard = r.Version, now
+	}
+	return changed
+}
+
+func strict(s control.WorkerState) int {
+	switch s {
+	case control.Gone:
+		return 2
+	case control.Draining:
+		return 1
+	}
+	return 0
+}
+
+func (r *Roster) info(w *Worker) control.WorkerInfo {
+	return control.WorkerInfo{ID: w.ID, Zone: control.ZoneID(r.zones.of(w.Zone)), Kind: control.KindID(r.kinds.of(w.Kind)),
+		Cell: control.CellID(r.cells.of(w.Cell)), State: w.State, Weight: w.Weight, Start: w.Start}
+}
+
+// Line is what the decisions are told of a worker.
+func (w *Worker) Line() control.WorkerInfo { return w.current }
--- /dev/null
+++ b/internal/standin/model.go
@@ -0,0 +1,788 @@
+// Package standin plays workers and their shared model store on loopback, for demonstrations, tests and days in the
+// laboratory. Fleet is the pure model: cores, memory, copies, lanes, queues, loads, cold starts, faults; no I/O, no
+// clock, seeded chance. Server puts it on sockets.
+package standin
+
+import (
+	"math"
+	"math/rand/v2"
+	"path"
+)
+
+// Spec describes a fleet. Spans are seconds, memory is MB.
+type Spec struct {
+	Workers []WorkerSpec
+	Models  []ModelSpec
+	Store   StoreSpec
+	Seed    uint64
+}
+
+// WorkerSpec describes one worker.
+type WorkerSpec struct {
+	Name, Zone, Cell string
+	Cores            float64 // inferences that run at full speed at once
+	Speed            float64 // of a core
+	MemoryMB         float64 // for copies
+	Queue            int     // inferences that may wait there; more are turned away as full
+	Loads            int     // loads at a time
+	OnMiss           string  // "load" while the inference waits, or "miss"
+	Keep             float64 // s an idle copy stays
+	Disk             bool    // keeps images, which spare the fetch
+	StopsCancelled   bool    // work of a connection that was closed stops
+	ColdShare        float64 // of capacity right after a start
+	WarmAfter        float64 // s until full capacity
+	Overload, Fall   float64 // sent more than so many times its present capacity for so long, a cold worker falls over
+	DedupWindow      float64 // s for which repeats of a mark are dropped
+	DedupScope       string  // among "all" workers, those of its "zone" or of its "cell"
+}
+
+// ModelSpec describes models by name or pattern; the first that fits holds.
+type ModelSpec struct {
+	Name        string
+	Group       string
+	MemoryMB    float64
+	Lanes       int
+	Work        float64 // s of a core, mean
+	Fetch, Boot float64 // s of a load: from the store, and on the worker
+	Deduped     bool
+	AnswerBytes int
+}
+
+// StoreSpec describes the shared store.
+type StoreSpec struct {
+	Slots int // fetches at full speed at once; more share it
+	Limit int // fetches at once; more are turned away
+}
+
+// State is where an inference stands.
+type state uint8
+
+const (
+	waitsLoad state = iota // no copy stands
+	waitsLane
+	runs
+	ended
+)
+
+// Verdict says how an inference or order ended.
+type Verdict uint8
+
+const (
+	Open     Verdict = iota // not yet
+	Served                  // ran, or a repeat that was dropped
+	TurnFull                // never ran
+	TurnMiss                // never ran
+	Broke                   // error; it may have run
+	Silent                  // never answered
+	Dead                    // the worker went away under it
+)
+
+// Req is an inference or a load order at a worker.
+type Req struct {
+	Owner               any
+	Model, Group        string
+	Key, Tenant         string
+	Order, Copies       int // Order 1: a load order
+	Until               float64
+	Verdict             Verdict
+	Found               string // warm, began, awaited, failed
+	Crowd               int
+	RanAt, EndAt        float64 // RanAt 0: it never began
+	Repeat, Fault       bool
+	Reset, Cut          bool // the answer is to be spoilt so
+	w                   *worker
+	m                   *copies
+	left                float64
+	st                  state
+	found               string
+	cancelled, fetching bool
+}
+
+// copies are the copies of one model on one worker.
+type copies struct {
+	spec          *ModelSpec
+	name          string
+	stand, busy   int
+	loading       float64 // s of fetch left, then boot
+	boot          float64
+	isLoading     bool
+	idleAt        float64
+	waiting       []*Req
+	began         *Req
+	orders        []*Req
+	want          int
+	image, queued bool
+}
+
+type worker struct {
+	WorkerSpec
+	i        int
+	up       bool
+	fell     bool
+	start    float64
+	models   map[string]*copies
+	order    []*copies // for a fixed order
+	running  []*Req
+	memory   float64
+	held     int
+	sent     []sent // work sent while cold
+	faults   map[string]Fault
+	backAt   float64
+	nextIdle float64
+	inflight float64 // as reported
+	queue    float64
+	reported float64
+}
+
+type sent struct{ at, work float64 }
+
+// Fault is a trouble of a worker, a set of workers, or the store.
+type Fault struct {
+	Kind   string  // see Kinds
+	Worker string  // name or pattern; empty for all
+	Share  float64 // of inferences hit, 0 to 1; 0 means all
+	Factor float64 // of slowness
+	Span   float64 // s it lasts
+	What   string  // the tenant or model group meant
+	since  float64
+	until  float64
+}
+
+// Kinds are the troubles known, each with what it does.
+var Kinds = map[string]string{
+	"fast_errors":   "answers 500 at once to a share of inferences",
+	"hang":          "takes inferences and answers none",
+	"vanish":        "goes away with its connections and comes back cold under its name",
+	"slow":          "works slower by the factor",
+	"pauses":        "stands still for 0.3 s in every second",
+	"ageing":        "works slower and slower, then vanishes for 3 s",
+	"flush":         "loses all copies and images, once",
+	"report_late":   "repeats the load report of when it began",
+	"slow_connect":  "answers nothing on a new connection for its first 0.2 s",
+	"refuse_tenant": "turns one tenant's inferences away as full",
+	"silent_group":  "takes one model group's inferences and answers none",
+	"store_slow":    "the store is slower by the factor",
+	"reset":         "resets the connection in mid-answer for a share of inferences",
+	"cut":           "cuts a share of the answers short",
+}
+
+// Fleet is the model. Its methods take the time, in seconds, which never goes back.
+type Fleet struct {
+	Log      func(now float64, worker, event string, r *Req) // may be nil
+	Vanished func(worker int)                                // connections are to be reset; may be nil
+	Returned func(worker int)                                // it is up again; may be nil
+	spec     Spec
+	now      float64
+	rnd      *rand.Rand
+	workers  []*worker
+	byName   map[string]*worker
+	marks    map[string]*mark
+	fetches  int
+	Fetched  int // fetches from the store in all
+	Refused  int // fetches it turned away
+	done     []*Req
+	faults   []Fault
+}
+
+type mark struct {
+	first *Req
+	until float64
+	dead  bool
+}
+
+// NewFleet makes a fleet. All workers are up and warm, and empty, unless cold.
+func NewFleet(s Spec, cold bool) *Fleet {
+	f := &Fleet{spec: s, rnd: rand.New(rand.NewPCG(s.Seed, 1)), byName: map[string]*worker{}, marks: map[string]*mark{}}
+	for i, ws := range s.Workers {
+		w := &worker{WorkerSpec: ws, i: i, up: true, models: map[string]*copies{}, faults: map[string]Fault{}, backAt: math.Inf(1)}
+		if !cold {
+			w.start = -1e6
+		}
+		f.workers = append(f.workers, w)
+		f.byName[ws.Name] = w
+	}
+	return f
+}
+
+// Start tells a worker's latest start, on the fleet's clock.
+func (f *Fleet) Start(i int) float64 { return f.workers[i].start }
+
+// Up tells whether a worker's process runs.
+func (f *Fleet) Up(i int) bool { return f.workers[i].up }
+
+// Name is a worker's name.
+func (f *Fleet) Name(i int) string { return f.workers[i].Name }
+
+// Fell tells whether a worker was pushed over.
+func (f *Fleet) Fell(i int) bool { return f.workers[i].fell }
+
+// Has tells whether a trouble is on at a worker.
+func (f *Fleet) Has(i int, kind string) bool { _, ok := f.workers[i].faults[kind]; return ok }
+
+// Report is a worker's load report: inferences it holds, and those of them that wait.
+func (f *Fleet) Report(i int) (inflight, queue float64) {
+	w := f.workers[i]
+	if f.now >= w.reported+0.1 && !f.Has(i, "report_late") {
+		w.reported, w.inflight, w.queue = f.now, float64(w.held), float64(w.held-len(w.running))
+	}
+	return w.inflight, w.queue
+}
+
+func (f *Fleet) log(w *worker, event string, r *Req) {
+	if f.Log != nil {
+		f.Log(f.now, w.Name, event, r)
+	}
+}
+
+func (f *Fleet) model(name string) *ModelSpec {
+	for i := range f.spec.Models {
+		if ok, _ := path.Match(f.spec.Models[i].Name, name); ok {
+			return &f.spec.Models[i]
+		}
+	}
+	return nil
+}
+
+func (w *worker) at(name string, spec *ModelSpec) *copies {
+	c := w.models[name]
+	if c == nil {
+		c = &copies{spec: spec, name: name}
+		w.models[name] = c
+		w.order = append(w.order, c)
+	}
+	return c
+}
+
+// capacity is the share of its full capacity a worker has now.
+func (w *worker) capacity(now float64) float64 {
+	if age := now - w.start; age < w.WarmAfter {
+		return w.ColdShare + (1-w.ColdShare)*age/w.WarmAfter
+	}
+	return 1
+}
+
+// speed is how fast one running inference goes.
+func (f *Fleet) speed(w *worker) float64 {
+	n := float64(len(w.running))
+	if n == 0 || !w.up {
+		return 0
+	}
+	v := w.Speed * math.Min(1, w.Cores*w.capacity(f.now)/n)
+	if x, ok := w.faults["slow"]; ok {
+		v /= x.Factor
+	}
+	if x, ok := w.faults["ageing"]; ok {
+		v /= 1 + (x.Factor-1)*(f.now-x.since)/x.Span
+	}
+	if _, ok := w.faults["pauses"]; ok && math.Mod(f.now, 1) < 0.3 {
+		v = 0
+	}
+	if _, ok := w.faults["hang"]; ok {
+		v = 0
+	}
+	return v
+}
+
+// Arrive hands an inference or an order to a worker. Its verdict may stand at once; else Advance returns it later.
+func (f *Fleet) Arrive(now float64, i int, r *Req) {
+	f.Advance(now)
+	w := f.workers[i]
+	spec := f.model(r.Model)
+	r.w = w
+	switch {
+	case !w.up:
+		r.Verdict = Dead
+		return
+	case spec == nil:
+		r.Verdict, r.Fault = Broke, true
+		return
+	case r.Order > 0:
+		f.order(w, r, spec)
+		return
+	}
+	r.Group = spec.Group
+	if r.left = spec.Work * (0.5 + f.rnd.Float64()); r.left <= 0 {
+		r.left = 1e-6
+	}
+	f.log(w, "arrive", r)
+	f.push(w, r.left)
+	if !w.up { // that pushed it over
+		r.Verdict = Dead
+		return
+	}
+	if x, ok := w.faults["fast_errors"]; ok && f.hit(x) {
+		f.turn(w, r, Broke)
+		return
+	}
+	if x, ok := w.faults["refuse_tenant"]; ok && x.What == r.Tenant {
+		f.turn(w, r, TurnFull)
+		return
+	}
+	if x, ok := w.faults["silent_group"]; ok && x.What == r.Group {
+		r.Fault = true
+	}
+	if x, ok := w.faults["reset"]; ok && f.hit(x) {
+		r.Reset = true
+	}
+	if x, ok := w.faults["cut"]; ok && f.hit(x) {
+		r.Cut = true
+	}
+	if r.Key != "" && spec.Deduped {
+		if m := f.marks[w.scope(r.Key)]; m != nil && f.now <= m.until {
+			r.Repeat = true
+			f.log(w, "repeat", r)
+			r.Found, r.Verdict, r.EndAt = "warm", Served, f.now
+			return
+		}
+	}
+	c := w.at(r.Model, spec)
+	if r.Crowd = len(c.waiting) + c.busy; w.held-len(w.running) >= w.Queue {
+		f.turn(w, r, TurnFull)
+		return
+	}
+	r.m = c
+	if c.stand == 0 && !c.isLoading {
+		if w.OnMiss == "miss" {
+			f.turn(w, r, TurnMiss)
+			return
+		}
+		if !f.load(w, c) {
+			f.turn(w, r, TurnFull)
+			return
+		}
+		r.found, c.began = "began", r
+	} else if c.stand == 0 {
+		r.found = "awaited"
+	} else {
+		r.found = "warm"
+	}
+	w.held++
+	c.waiting = append(c.waiting, r)
+	f.dispatch(w, c)
+}
+
+// scope is a mark within the workers that drop its repeats.
+func (w *worker) scope(key string) string {
+	switch w.DedupScope {
+	case "zone":
+		return w.Zone + "/" + key
+	case "cell":
+		return w.Zone + "/" + w.Cell + "/" + key
+	}
+	return key
+}
+
+func (f *Fleet) hit(x Fault) bool { return x.Share <= 0 || f.rnd.Float64() < x.Share }
+
+func (f *Fleet) turn(w *worker, r *Req, v Verdict) {
+	r.Verdict, r.EndAt = v, f.now
+	f.log(w, "turned", r)
+}
+
+// push books work sent to a cold worker; too much of it in the span pushes the worker over.
+func (f *Fleet) push(w *worker, work float64) {
+	if f.now-w.start >= w.WarmAfter || w.Overload <= 0 {
+		w.sent = w.sent[:0]
+		return
+	}
+	w.sent = append(w.sent, sent{f.now, work})
+	for len(w.sent) > 0 && w.sent[0].at < f.now-w.Fall {
+		w.sent = w.sent[1:]
+	}
+	sum := 0.0
+	for _, s := range w.sent {
+		sum += s.work
+	}
+	if len(w.sent) > 2 && sum > w.Overload*w.capacity(f.now)*w.Cores*w.Speed*w.Fall {
+		w.fell = true
+		f.log(w, "fell", nil)
+		f.vanish(w, math.Inf(1))
+	}
+}
+
+// order takes a load order.
+func (f *Fleet) order(w *worker, r *Req, spec *ModelSpec) {
+	f.log(w, "order", r)
+	if x, ok := w.faults["hang"]; ok {
+		_ = x
+		r.Fault = true
+		return
+	}
+	c := w.at(r.Model, spec)
+	c.idleAt = f.now
+	if c.stand >= r.Copies {
+		r.Verdict, r.EndAt = Served, f.now
+		r.Copies = c.stand
+		return
+	}
+	if !c.isLoading && !f.load(w, c) {
+		r.Verdict, r.EndAt, r.Copies = TurnFull, f.now, c.stand
+		return
+	}
+	c.orders = append(c.orders, r)
+}
+
+// load begins to load one more copy, if there is room.
+func (f *Fleet) load(w *worker, c *copies) bool {
+	n := 0
+	for _, o := range w.order {
+		if o.isLoading {
+			n++
+		}
+	}
+	if n >= w.Loads {
+		return false
+	}
+	for w.memory+c.spec.MemoryMB > w.MemoryMB {
+		var idle *copies
+		for _, o := range w.order {
+			if o != c && o.stand > o.busy && len(o.waiting) == 0 && (idle == nil || o.idleAt < idle.idleAt) {
+				idle = o
+			}
+		}
+		if idle == nil {
+			return false
+		}
+		f.unload(w, idle)
+	}
+	c.isLoading, c.boot, c.loading = true, c.spec.Boot, 0
+	w.memory += c.spec.MemoryMB
+	if !c.image {
+		if f.spec.Store.Limit > 0 && f.fetches >= f.spec.Store.Limit {
+			f.Refused++
+			c.isLoading = false
+			w.memory -= c.spec.MemoryMB
+			return false
+		}
+		f.fetches++
+		f.Fetched++
+		c.loading = math.Max(1e-6, c.spec.Fetch)
+	}
+	f.log(w, "load", &Req{Model: c.name})
+	return true
+}
+
+func (f *Fleet) unload(w *worker, c *copies) {
+	c.stand--
+	w.memory -= c.spec.MemoryMB
+	f.log(w, "unload", &Req{Model: c.name})
+}
+
+// Unload drops the idle copies of a model.
+func (f *Fleet) Unload(now float64, i int, model string) {
+	f.Advance(now)
+	w := f.workers[i]
+	if c := w.models[model]; c != nil {
+		for c.stand > c.busy {
+			f.unload(w, c)
+		}
+	}
+}
+
+// dispatch lets waiting inferences run while there are lanes.
+func (f *Fleet) dispatch(w *worker, c *copies) {
+	for len(c.waiting) > 0 && c.busy < c.stand*max(1, c.spec.Lanes) {
+		r := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		if r.cancelled || r.Until > 0 && f.now > r.Until {
+			w.held--
+			r.st, r.Verdict, r.EndAt = ended, Silent, f.now
+			continue
+		}
+		if r.Key != "" && c.spec.Deduped { // another may have come in while this one waited
+			k := w.scope(r.Key)
+			if m := f.marks[k]; m != nil && f.now <= m.until {
+				w.held--
+				r.Repeat, r.st, r.Verdict, r.EndAt, r.Found = true, ended, Served, f.now, r.found
+				f.log(w, "repeat", r)
+				f.done = append(f.done, r)
+				continue
+			}
+			f.marks[k] = &mark{first: r, until: f.now + w.DedupWindow}
+		}
+		c.busy++
+		r.st, r.RanAt = runs, f.now
+		w.running = append(w.running, r)
+		f.log(w, "ran", r)
+	}
+}
+
+// Cancel takes note that an inference's connection was closed.
+func (f *Fleet) Cancel(now float64, r *Req) {
+	f.Advance(now)
+	r.cancelled = true
+	if r.st == runs && r.w.StopsCancelled {
+		f.stop(r)
+		r.Verdict = Silent
+		f.log(r.w, "stopped", r)
+		f.dispatch(r.w, r.m)
+	}
+}
+
+// stop takes an inference off those that run.
+func (f *Fleet) stop(r *Req) {
+	w := r.w
+	for i, o := range w.running {
+		if o == r {
+			w.running = append(w.running[:i], w.running[i+1:]...)
+			w.held--
+			r.m.busy--
+			r.m.idleAt = f.now
+			break
+		}
+	}
+	r.st, r.EndAt = ended, f.now
+}
+
+// Set switches a trouble on, until now plus its span. It returns false for a kind or worker not known.
+func (f *Fleet) Set(now float64, x Fault) bool {
+	f.Advance(now)
+	if _, ok := Kinds[x.Kind]; !ok {
+		return false
+	}
+	if x.Factor <= 0 {
+		x.Factor = 5
+	}
+	if x.Span <= 0 {
+		x.Span = 5
+	}
+	x.since, x.until = now, now+x.Span
+	if x.Kind == "store_slow" {
+		f.faults = append(f.faults, x)
+		return true
+	}
+	hit := false
+	for _, w := range f.workers {
+		if ok, _ := path.Match(x.Worker, w.Name); !ok && x.Worker != "" {
+			continue
+		}
+		hit = true
+		f.log(w, "fault-"+x.Kind, nil)
+		switch x.Kind {
+		case "vanish":
+			f.vanish(w, now+x.Span)
+		case "flush":
+			f.flush(w)
+		default:
+			w.faults[x.Kind] = x
+		}
+	}
+	return hit
+}
+
+// flush voids all copies and images; what runs goes on.
+func (f *Fleet) flush(w *worker) {
+	for _, c := range w.order {
+		for c.image = false; c.stand > c.busy; {
+			f.unload(w, c)
+		}
+		if len(c.waiting) > 0 && c.stand == 0 && !c.isLoading {
+			f.loadOrTurn(w, c)
+		}
+	}
+}
+
+// loadOrTurn loads for those that wait, or turns them away.
+func (f *Fleet) loadOrTurn(w *worker, c *copies) {
+	if f.load(w, c) {
+		return
+	}
+	for _, r := range c.waiting {
+		w.held--
+		r.st, r.Verdict, r.EndAt, r.Found = ended, TurnFull, f.now, "failed"
+		f.log(w, "turned", r)
+		f.done = append(f.done, r)
+	}
+	c.waiting = nil
+}
+
+// vanish ends a worker's process: all it held is lost. It comes back cold and empty.
+func (f *Fleet) vanish(w *worker, back float64) {
+	if !w.up {
+		return
+	}
+	w.up, w.backAt = false, back
+	f.log(w, "vanish", nil)
+	for _, c := range w.order {
+		if c.isLoading && c.loading > 0 {
+			f.fetches--
+		}
+		for _, r := range append(c.waiting, c.orders...) {
+			r.st, r.Verdict, r.EndAt = ended, Dead, f.now
+		}
+		image := c.image && w.Disk
+		*c = copies{spec: c.spec, name: c.name, image: image}
+	}
+	for _, r := range w.running {
+		r.st, r.Verdict, r.EndAt = ended, Dead, f.now
+	}
+	w.running, w.memory, w.held, w.sent = nil, 0, 0, nil
+	clear(w.faults)
+	if f.Vanished != nil {
+		f.Vanished(w.i)
+	}
+}
+
+// step bounds how far the model goes in one stride while speeds change smoothly.
+const step = 0.02
+
+// Next tells when something may happen next; +Inf for never.
+func (f *Fleet) Next() float64 {
+	next := math.Inf(1)
+	slow := f.storeSlow()
+	for _, w := range f.workers {
+		if !w.up {
+			next = math.Min(next, w.backAt)
+			continue
+		}
+		v := f.speed(w)
+		for _, r := range w.running {
+			if v > 0 {
+				next = math.Min(next, f.now+math.Max(r.left/v, 1e-6))
+			}
+		}
+		if len(w.running) > 0 && (v == 0 || w.capacity(f.now) < 1 || len(w.faults) > 0) {
+			next = math.Min(next, f.now+step)
+		}
+		for _, c := range w.order {
+			switch {
+			case c.isLoading && c.loading > 0:
+				next = math.Min(next, f.now+math.Max(c.loading*slow, 1e-6))
+			case c.isLoading:
+				next = math.Min(next, f.now+math.Max(c.boot, 1e-6))
+			case c.stand > c.busy && w.Keep > 0:
+				next = math.Min(next, math.Max(f.now+1e-6, c.idleAt+w.Keep))
+			}
+		}
+		for _, x := range w.faults {
+			next = math.Min(next, math.Max(f.now+1e-6, x.until))
+		}
+	}
+	return next
+}
+
+// storeSlow is how many times slower than alone a fetch goes now.
+func (f *Fleet) storeSlow() float64 {
+	v := 1.0
+	if s := f.spec.Store.Slots; s > 0 && f.fetches > s {
+		v = float64(f.fetches) / float64(s)
+	}
+	for _, x := range f.faults {
+		if f.now < x.until {
+			v *= x.Factor
+		}
+	}
+	return v
+}
+
+// Advance moves the clock on, and returns what ended. The slice is valid until the next call of TakeDone.
+func (f *Fleet) Advance(now float64) {
+	for now > f.now {
+		to := math.Min(now, f.Next())
+		if f.busy() {
+			to = math.Min(to, f.now+step)
+		}
+		f.stride(math.Max(to, math.Nextafter(f.now, math.Inf(1))))
+	}
+}
+
+func (f *Fleet) busy() bool {
+	for _, w := range f.workers {
+		if len(w.running) > 0 && (w.capacity(f.now) < 1 || len(w.faults) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// TakeDone returns those that ended since the last call.
+func (f *Fleet) TakeDone() []*Req {
+	d := f.done
+	f.done = nil
+	return d
+}
+
+func (f *Fleet) stride(to float64) {
+	dt := to - f.now
+	slow := f.storeSlow()
+	speeds := make([]float64, len(f.workers))
+	for i, w := range f.workers {
+		speeds[i] = f.speed(w)
+	}
+	f.now = to
+	const eps = 1e-7
+	for i, w := range f.workers {
+		if !w.up {
+			if to >= w.backAt {
+				w.up, w.start, w.backAt = true, to, math.Inf(1)
+				f.log(w, "start", nil)
+				if f.Returned != nil {
+					f.Returned(w.i)
+				}
+			}
+			continue
+		}
+		for _, r := range w.running {
+			r.left -= dt * speeds[i]
+		}
+		for k := 0; k < len(w.running); k++ {
+			if r := w.running[k]; r.left <= eps {
+				f.stop(r)
+				k--
+				r.Verdict, r.Found = Served, r.found
+				f.log(w, "served", r)
+				if r.Fault {
+					r.Verdict = Silent
+				}
+				f.done = append(f.done, r)
+				f.dispatch(w, r.m)
+			}
+		}
+		for _, c := range w.order {
+			f.age(w, c, dt, slow)
+		}
+		for k, x := range w.faults {
+			if to >= x.until {
+				delete(w.faults, k)
+				if k == "ageing" {
+					f.vanish(w, to+3)
+					break
+				}
+			}
+		}
+	}
+	for k, m := range f.marks {
+		if to > m.until+60 {
+			delete(f.marks, k)
+		}
+	}
+}
+
+// age moves a model's loads and idle copies on.
+func (f *Fleet) age(w *worker, c *copies, dt, slow float64) {
+	const eps = 1e-7
+	switch {
+	case c.isLoading && c.loading > 0:
+		if c.loading -= dt / slow; c.loading <= eps {
+			c.loading = 0
+			f.fetches--
+		}
+	case c.isLoading:
+		if c.boot -= dt; c.boot <= eps {
+			c.isLoading, c.image = false, true
+			c.stand++
+			c.idleAt = f.now
+			f.log(w, "loaded", &Req{Model: c.name})
+			for _, o := range c.orders {
+				o.Verdict, o.Copies, o.EndAt = Served, c.stand, f.now
+				f.done = append(f.done, o)
+			}
+			c.orders = nil
+			f.dispatch(w, c)
+		}
+	case w.Keep > 0 && c.stand > c.busy && f.now >= c.idleAt+w.Keep-eps && len(c.waiting) == 0:
+		for c.stand > c.busy {
+			f.unload(w, c)
+		}
+	}
+}
