--- a/internal/app/demo.go
+++ b/internal/app/demo.go
@@ -13,8 +13,8 @@
 	"mastchute/internal/standin"
 )
 
-// demoModels are what the stand-ins of a demonstration serve.
-var demoModels = []standin.ModelSpec{
+// DemoModels are what the stand-ins of a demonstration serve.
+var DemoModels = []standin.ModelSpec{
 	{Name: "species-fern", Group: "read", MemoryMB: 300, Lanes: 4, Work: 0.05, Fetch: 0.4, Boot: 0.2},
 	{Name: "label-print", Group: "write", MemoryMB: 200, Lanes: 2, Work: 0.08, Fetch: 0.3, Boot: 0.2, Deduped: true},
 }
@@ -37,7 +37,7 @@
 		return ExitError
 	}
 	free := netip.MustParseAddrPort("127.0.0.1:0")
-	s, err := standin.NewServer(l, DemoSpec(3, demoModels), []netip.AddrPort{free, free, free}, free, nil, false)
+	s, err := standin.NewServer(l, DemoSpec(3, DemoModels), []netip.AddrPort{free, free, free}, free, nil, false)
 	if err != nil {
 		fmt.Fprintln(out, err)
 		return ExitError
@@ -47,7 +47,7 @@
 	cfg.Groups = []config.Group{
 		{Name: "read", Effect: "retriable", SLO: config.S(1), Timeout: config.S(5), Value: 1},
 		{Name: "write", Effect: "deduped", Scope: "all", Window: config.S(10), SLO: config.S(1), Timeout: config.S(5), Value: 2}}
-	for _, m := range demoModels {
+	for _, m := range DemoModels {
 		cfg.Models = append(cfg.Models, config.Model{Name: m.Name, Group: m.Group, Memory: config.B(int64(m.MemoryMB * 1e6)),
 			Lanes: float64(m.Lanes), Load: config.S(m.Fetch + m.Boot)})
 	}
--- /dev/null
+++ b/internal/cli/lab.go
@@ -0,0 +1,157 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"mastchute/internal/app"
+	"mastchute/internal/lab"
+	"mastchute/internal/loop"
+	"mastchute/internal/standin"
+)
+
+type labCmd struct {
+	Day labDayCmd `cmd:"" help:"Play a day over sockets in real processes and judge the five rules."`
+}
+
+type labDayCmd struct {
+	File string `arg:"" type:"existingfile" help:"Day file (YAML); docs/lab.md describes it, days/ has some."`
+	JSON bool   `name:"json" help:"Print the report as JSON."`
+	Keep string `help:"Keep settings, logs and records in this directory."`
+	Seed uint64 `help:"Play it with another seed."`
+}
+
+func (c *labDayCmd) Run() error {
+	day, err := lab.LoadDay(c.File)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCode(app.ExitError)
+	}
+	if c.Seed > 0 {
+		day.Seed = c.Seed
+	}
+	if c.Keep != "" {
+		if err := os.MkdirAll(c.Keep, 0o755); err != nil {
+			return err
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	evidence, rep, err := lab.Play(ctx, day, lab.Options{Self: []string{self}, Dir: c.Keep, Say: os.Stderr})
+	if rep != nil {
+		if c.Keep != "" {
+			if f, err := os.Create(c.Keep + "/tries.jsonl"); err == nil {
+				e := json.NewEncoder(f)
+				for _, t := range evidence.Tries {
+					e.Encode(t)
+				}
+				f.Close()
+			}
+		}
+		if c.JSON {
+			e := json.NewEncoder(os.Stdout)
+			e.SetIndent("", "  ")
+			e.Encode(rep)
+		} else {
+			rep.Write(os.Stdout)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if rep.Broken() {
+		return exitCode(app.ExitError)
+	}
+	return nil
+}
+
+type standinCmd struct {
+	Workers int    `default:"3" help:"How many workers, without --spec."`
+	Listen  string `default:"127.0.0.1" help:"IP address to listen on."`
+	Port    int    `default:"0" help:"Port of the first worker; the others take the next ones. 0 takes free ones."`
+	Control string `default:"127.0.0.1:0" help:"Address for switching troubles on: POST /fault."`
+	Spec    string `type:"existingfile" help:"Fleet as JSON, as lab day writes it; default: a small one with the demo's models."`
+	Records string `help:"Write what the sockets carried to this file, a JSON line for each event."`
+	JSON    bool   `name:"json" help:"Print the addresses as one JSON line; default: as a list of workers for roster.file."`
+	Cold    bool   `help:"Workers start cold."`
+}
+
+func (c *standinCmd) Run() error {
+	spec := app.DemoSpec(c.Workers, app.DemoModels)
+	if c.Spec != "" {
+		text, err := os.ReadFile(c.Spec)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(text, &spec); err != nil {
+			return fmt.Errorf("%s: %w", c.Spec, err)
+		}
+	}
+	host, err := netip.ParseAddr(c.Listen)
+	if err != nil {
+		return err
+	}
+	ctl, err := netip.ParseAddrPort(c.Control)
+	if err != nil {
+		return err
+	}
+	var at []netip.AddrPort
+	for i := range spec.Workers {
+		port := c.Port
+		if port > 0 {
+			port += i
+		}
+		at = append(at, netip.AddrPortFrom(host, uint16(port)))
+	}
+	var records io.Writer
+	if c.Records != "" {
+		f, err := os.Create(c.Records)
+		if err != nil {
+			return err
+		}
+		w := bufio.NewWriterSize(f, 1<<20)
+		defer f.Close()
+		defer w.Flush()
+		records = w
+	}
+	l, err := loop.New(0)
+	if err != nil {
+		return err
+	}
+	s, err := standin.NewServer(l, spec, at, ctl, records, c.Cold)
+	if err != nil {
+		return err
+	}
+	a := lab.Announce{Control: s.Control().String()}
+	for i, w := range spec.Workers {
+		a.Workers = append(a.Workers, lab.WorkerAt{Name: w.Name, Address: s.Addr(i).String()})
+	}
+	if c.JSON {
+		json.NewEncoder(os.Stdout).Encode(a)
+	} else {
+		fmt.Printf("# troubles: curl -d '{\"kind\":\"hang\",\"worker\":\"w1\",\"span\":10}' http://%s/fault\nworkers:\n", a.Control)
+		for _, w := range a.Workers {
+			fmt.Printf("  - {name: %s, address: %q}\n", w.Name, w.Address)
+		}
+	}
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-sig
+		l.Stop()
+		time.AfterFunc(5*time.Second, func() { os.Exit(app.ExitError) })
+	}()
+	return l.Run()
+}
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -105,15 +105,15 @@
 	return fmt.Sprintf("%q is not a size: write a number and its unit (B, kB, MB, GB, KiB, MiB, GiB), such as 300MB", z.text)
 }
 
-// source is a parsed file, for telling where a setting stands.
-type source struct {
+// Source is a parsed file, for telling where a setting stands.
+type Source struct {
 	file string
 	body ast.Node
 	out  Problems
 }
 
-// at reports a fault at a path such as $.groups[0].slo; the nearest parent that is written tells the line.
-func (s *source) at(path, format string, a ...any) {
+// At reports a fault at a path such as $.groups[0].slo; the nearest parent that is written tells the line.
+func (s *Source) At(path, format string, a ...any) {
 	p := Problem{File: s.file, Text: fmt.Sprintf(format, a...)}
 	for at := path; s.body != nil && len(at) > 1; at = parent(at) {
 		if y, err := yaml.PathString(at); err == nil {
@@ -129,24 +129,15 @@
 	s.out = append(s.out, p)
 }
 
-// has tells whether a setting is written.
-func (s *source) has(path string) bool {
-	if s.body == nil {
-		return false
-	}
-	y, err := yaml.PathString(path)
-	if err != nil {
-		return false
-	}
-	n, err := y.FilterNode(s.body)
-	return err == nil && n != nil
-}
-
 func parent(path string) string { return path[:max(1, strings.LastIndexAny(path, ".["))] }
 
-// decode reads YAML strictly into v, then all spans and sizes in it.
-func decode(file string, text []byte, v any) (*source, error) {
-	s := &source{file: file}
+// Problems are the faults found so far.
+func (s *Source) Problems() Problems { return s.out }
+
+// Decode reads YAML strictly into v, a pointer to a struct, then all spans and sizes in it; v holds the defaults before.
+// The error is Problems. Checks of the values report to the Source by At.
+func Decode(file string, text []byte, v any) (*Source, error) {
+	s := &Source{file: file}
 	tree, err := parser.ParseBytes(text, 0)
 	if err == nil {
 		if len(tree.Docs) > 1 {
@@ -178,7 +169,7 @@
 }
 
 // spans reads every Duration and Size that is written.
-func (s *source) spans(path string, v reflect.Value) {
+func (s *Source) spans(path string, v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Struct:
 		var why string
@@ -201,7 +192,7 @@
 			}
 		}
 		if why != "" {
-			s.at(path, "%s", why)
+			s.At(path, "%s", why)
 		}
 	case reflect.Slice:
 		for i := range v.Len() {
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,175 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what a day came to. Service and latency are by logical call: from a client's first try to the answer
+// that was returned to it.
+type Report struct {
+	Day      string             `json:"day"`
+	Findings []Finding          `json:"rules"`
+	Groups   []GroupReport      `json:"groups"`
+	Service  float64            `json:"service"` // value returned within the SLO time over value asked for
+	Warm     float64            `json:"warm"`    // share of served forwards that found a warm copy
+	Served   int                `json:"served"`
+	Forwards int                `json:"forwards"`
+	Orders   int                `json:"orders"`
+	Loads    int                `json:"loads"`
+	Turned   int                `json:"turned"`
+	Repeats  int                `json:"repeats"` // dropped by workers
+	Guards   map[string]float64 `json:"guards"`
+	Exits    []int              `json:"exits"`
+}
+
+// GroupReport is one model group's.
+type GroupReport struct {
+	Name    string  `json:"name"`
+	Asked   int     `json:"asked"`
+	InSLO   int     `json:"in_slo"`
+	Late    int     `json:"late"`
+	Tries   int     `json:"tries"`
+	Shed    int     `json:"shed"`
+	Failed  int     `json:"failed"`
+	Left    int     `json:"left"`
+	Refused int     `json:"refused"`
+	P50     float64 `json:"p50_s"`
+	P99     float64 `json:"p99_s"`
+}
+
+func (rep *Report) fill(day *Day, e *Evidence) {
+	rep.Day, rep.Findings = day.Name, Judge(e)
+	type callOf struct {
+		group    string
+		first    float64
+		returned float64
+	}
+	calls := map[string]*callOf{}
+	by := map[string]*GroupReport{}
+	hist := map[string]*hdrhistogram.Histogram{}
+	for _, g := range day.Settings.Groups {
+		by[g.Name], hist[g.Name] = &GroupReport{Name: g.Name}, hdrhistogram.New(1, 3_600_000_000, 3)
+	}
+	for _, t := range e.Tries {
+		g := by[t.Group]
+		c := calls[t.Key]
+		if c == nil {
+			c = &callOf{group: t.Group, first: t.Sent}
+			calls[t.Key] = c
+			g.Asked++
+		}
+		if t.Sent < c.first {
+			c.first = t.Sent
+		}
+		g.Tries++
+		switch {
+		case t.Answer == "returned":
+			c.returned = t.Answered
+		case t.Answer == "shed":
+			g.Shed++
+		case t.Answer == "failed":
+			g.Failed++
+		case t.Left:
+			g.Left++
+		default:
+			g.Refused++
+		}
+	}
+	for _, c := range calls {
+		if c.returned == 0 {
+			continue
+		}
+		took := c.returned - c.first
+		hist[c.group].RecordValue(int64(took * 1e6))
+		for _, g := range day.Settings.Groups {
+			if g.Name != c.group {
+				continue
+			}
+			if took <= g.SLO.Seconds {
+				by[c.group].InSLO++
+			} else {
+				by[c.group].Late++
+			}
+		}
+	}
+	got, asked := 0.0, 0.0
+	for _, g := range day.Settings.Groups {
+		r, v := by[g.Name], g.Value
+		if v == 0 {
+			v = 1
+		}
+		r.P50 = float64(hist[g.Name].ValueAtPercentile(50)) / 1e6
+		r.P99 = float64(hist[g.Name].ValueAtPercentile(99)) / 1e6
+		got += v * float64(r.InSLO)
+		asked += v * float64(r.Asked)
+		rep.Groups = append(rep.Groups, *r)
+	}
+	if asked > 0 {
+		rep.Service = got / asked
+	}
+	warm := 0
+	for _, r := range e.Records {
+		switch r.Event {
+		case "arrive":
+			rep.Forwards++
+		case "served":
+			if rep.Served++; r.Found == "warm" {
+				warm++
+			}
+		case "order":
+			rep.Orders++
+		case "load":
+			rep.Loads++
+		case "turned":
+			rep.Turned++
+		case "repeat":
+			rep.Repeats++
+		}
+	}
+	if rep.Served > 0 {
+		rep.Warm = float64(warm) / float64(rep.Served)
+	}
+}
+
+// Broken tells whether a rule was broken.
+func (rep *Report) Broken() bool {
+	for _, f := range rep.Findings {
+		if f.Broken > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Write prints the report for people: a line a rule, then service by model group.
+func (rep *Report) Write(out io.Writer) {
+	for _, f := range rep.Findings {
+		fmt.Fprintf(out, "rule %d  %-9s  %5d tests  %s\n", f.Rule, f.Verdict(), f.Tests, f.Name)
+		for _, b := range f.Breaks {
+			fmt.Fprintf(out, "        %s\n", b)
+		}
+		if f.Broken > len(f.Breaks) {
+			fmt.Fprintf(out, "        and %d more\n", f.Broken-len(f.Breaks))
+		}
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "group\tasked\tin SLO\tlate\tshed\tfailed\tleft\trefused\tp50 ms\tp99 ms\t")
+	for _, g := range rep.Groups {
+		fmt.Fprintf(w, "%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", g.Name, g.Asked, float64(g.InSLO)/max(1, float64(g.Asked)),
+			g.Late, g.Shed, g.Failed, g.Left, g.Refused, g.P50*1e3, g.P99*1e3)
+	}
+	w.Flush()
+	var guards []string
+	for k, v := range rep.Guards {
+		guards = append(guards, fmt.Sprintf("%s %.0f", k, v))
+	}
+	sort.Strings(guards)
+	fmt.Fprintf(out, "service %.3f; found warm %.3f of %d served; %d forwards, %d turned away, %d repeats dropped, %d orders, %d loads; guards: %s; exits %v\n",
+		rep.Service, rep.Warm, rep.Served, rep.Forwards, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), rep.Exits)
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,439 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"mastchute/internal/config"
+	"mastchute/internal/standin"
+)
+
+// Options say how a day is played.
+type Options struct {
+	Self []string  // command line of the program, for the processes of the day
+	Env  []string  // added to their environment
+	Dir  string    // for settings, logs and records; empty: a new one, removed at the end
+	Say  io.Writer // progress; may be nil
+}
+
+// Announce is the line a stand-in process prints once it listens.
+type Announce struct {
+	Workers []WorkerAt `json:"workers"`
+	Control string     `json:"control"`
+}
+
+// WorkerAt is where a stand-in worker listens.
+type WorkerAt struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// proc is one process of the day.
+type proc struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	code int
+}
+
+func (o *Options) start(out, errs io.Writer, args ...string) (*proc, error) {
+	cmd := exec.Command(o.Self[0], append(append([]string(nil), o.Self[1:]...), args...)...)
+	cmd.Env = append(os.Environ(), o.Env...)
+	cmd.Stdout, cmd.Stderr = out, errs
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a run that is interrupted leaves none behind
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &proc{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		err := cmd.Wait()
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
+			p.code = exit.ExitCode()
+		} else if err != nil {
+			p.code = -1
+		}
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// stop asks the process to end, and kills it when it has not after the span. It returns the exit code.
+func (p *proc) stop(span time.Duration) int {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(span):
+		p.cmd.Process.Kill()
+		<-p.done
+	}
+	return p.code
+}
+
+// dispatcher is one dispatcher process and its settings.
+type dispatcher struct {
+	*gateway
+	cfg   config.Config
+	file  string
+	admin string
+	proc  *proc
+	log   *os.File
+}
+
+// run is a day being played.
+type run struct {
+	day   *Day
+	opt   Options
+	ctx   context.Context
+	fleet *proc
+	ann   Announce
+	disp  []*dispatcher
+	begin time.Time
+	mu    sync.Mutex
+	words []Word
+	downs []Down
+	says  map[string]string // states said of workers now
+	wait  sync.WaitGroup
+	errs  []error
+}
+
+// Play plays a day and returns what was seen. It ends early when ctx does; what was seen by then is returned too.
+func Play(ctx context.Context, day *Day, opt Options) (*Evidence, *Report, error) {
+	if opt.Dir == "" {
+		dir, err := os.MkdirTemp("", "mastchute-day-")
+		if err != nil {
+			return nil, nil, err
+		}
+		defer os.RemoveAll(dir)
+		opt.Dir = dir
+	}
+	if opt.Say == nil {
+		opt.Say = io.Discard
+	}
+	r := &run{day: day, opt: opt, ctx: ctx, says: map[string]string{}}
+	defer r.end()
+	if err := r.up(); err != nil {
+		return nil, nil, err
+	}
+	fmt.Fprintf(opt.Say, "%s: %d dispatchers, %d workers, %g inferences a second for %gs\n", day.Name, day.Dispatchers,
+		day.Fleet.Workers, day.Clients.Rate, day.Seconds.Seconds)
+	c := &crowd{day: day}
+	for _, d := range r.disp {
+		c.gateways = append(c.gateways, d.gateway)
+	}
+	r.begin = time.Now()
+	r.schedule()
+	c.load(ctx, r.begin)
+	r.wait.Wait()
+	guards := r.guards()
+	e := &Evidence{Settings: &day.Settings, Zones: map[string]string{}, Cells: map[string]string{}, Words: r.words, Downs: r.downs}
+	rep := &Report{Guards: guards}
+	for _, d := range r.disp {
+		rep.Exits = append(rep.Exits, d.proc.stop(20*time.Second))
+	}
+	r.fleet.stop(5 * time.Second)
+	for _, t := range c.tries {
+		e.Tries = append(e.Tries, *t)
+	}
+	for _, w := range day.Spec().Workers {
+		e.Zones[w.Name], e.Cells[w.Name] = w.Zone, w.Cell
+	}
+	sort.SliceStable(e.Words, func(i, j int) bool { return e.Words[i].Heard < e.Words[j].Heard })
+	var err error
+	if e.Records, err = readRecords(filepath.Join(opt.Dir, "records.jsonl")); err != nil {
+		return nil, nil, err
+	}
+	rep.fill(day, e)
+	return e, rep, errors.Join(r.errs...)
+}
+
+func readRecords(file string) ([]standin.Record, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var out []standin.Record
+	d := json.NewDecoder(bufio.NewReaderSize(f, 1<<20))
+	for {
+		var r standin.Record
+		if err := d.Decode(&r); err == io.EOF {
+			return out, nil
+		} else if err != nil {
+			return out, fmt.Errorf("record %d: %w", len(out)+1, err)
+		}
+		out = append(out, r)
+	}
+}
+
+func (r *run) path(name string) string { return filepath.Join(r.opt.Dir, name) }
+
+// up starts the stand-ins and the dispatchers, and waits until they serve.
+func (r *run) up() error {
+	spec, err := json.Marshal(r.day.Spec())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(r.path("fleet.json"), spec, 0o600); err != nil {
+		return err
+	}
+	pr, pw := io.Pipe()
+	args := []string{"standin", "--spec", r.path("fleet.json"), "--records", r.path("records.jsonl"), "--json"}
+	if r.day.Fleet.Cold {
+		args = append(args, "--cold")
+	}
+	if r.fleet, err = r.opt.start(pw, os.Stderr, args...); err != nil {
+		return err
+	}
+	first := make(chan error, 1)
+	go func() {
+		line, err := bufio.NewReader(pr).ReadBytes('\n')
+		if err == nil {
+			err = json.Unmarshal(line, &r.ann)
+		}
+		first <- err
+		io.Copy(io.Discard, pr)
+	}()
+	select {
+	case err = <-first:
+	case <-r.fleet.done:
+		err = fmt.Errorf("the stand-ins ended with exit code %d", r.fleet.code)
+	case <-time.After(10 * time.Second):
+		err = errors.New("the stand-ins did not come up")
+	}
+	if err != nil {
+		return err
+	}
+	for i := range r.day.Dispatchers {
+		d := &dispatcher{gateway: &gateway{name: fmt.Sprintf("d%d", i)}, cfg: r.day.Settings}
+		d.cfg.Name, d.cfg.Listen, d.cfg.Admin, d.cfg.Seed = d.name, "127.0.0.1:0", "127.0.0.1:0", r.day.Seed*1000+uint64(i)+1
+		d.cfg.Log.Format = "json"
+		for j, w := range r.ann.Workers {
+			ws := r.day.Spec().Workers[j]
+			d.cfg.Workers = append(d.cfg.Workers, config.Worker{Name: w.Name, Address: w.Address, Zone: ws.Zone, Cell: ws.Cell, Weight: 1})
+		}
+		d.file = r.path(d.name + ".yaml")
+		if err := r.startDispatcher(d); err != nil {
+			return err
+		}
+		r.disp = append(r.disp, d)
+	}
+	return nil
+}
+
+// startDispatcher starts the process and waits until it is ready. The addresses it takes at first it keeps.
+func (r *run) startDispatcher(d *dispatcher) error {
+	text, err := yaml.Marshal(d.cfg)
+	if err == nil {
+		err = os.WriteFile(d.file, text, 0o600)
+	}
+	if err != nil {
+		return err
+	}
+	pr, pw := io.Pipe()
+	if d.log == nil {
+		if d.log, err = os.Create(r.path(d.name + ".log")); err != nil {
+			return err
+		}
+	}
+	if d.proc, err = r.opt.start(nil, pw, "serve", d.file); err != nil {
+		return err
+	}
+	type at struct{ Message, Listen, Admin string }
+	first := make(chan at, 1)
+	go func() {
+		s := bufio.NewScanner(pr)
+		s.Buffer(nil, 1<<20)
+		for s.Scan() {
+			d.log.Write(append(s.Bytes(), '\n'))
+			var a at
+			if json.Unmarshal(s.Bytes(), &a) == nil && a.Message == "serving" {
+				first <- a
+			}
+		}
+		io.Copy(io.Discard, pr)
+	}()
+	p := d.proc
+	go func() { <-p.done; pw.Close() }()
+	select {
+	case a := <-first:
+		d.addr, d.admin = a.Listen, a.Admin
+		d.cfg.Listen, d.cfg.Admin = a.Listen, a.Admin
+	case <-d.proc.done:
+		log, _ := os.ReadFile(r.path(d.name + ".log"))
+		return fmt.Errorf("dispatcher %s ended with exit code %d: %s", d.name, d.proc.code, log)
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("dispatcher %s did not come up", d.name)
+	}
+	for range 500 {
+		resp, err := http.Get("http://" + d.admin + "/v2/health/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return nil
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("dispatcher %s is not ready after 5 s", d.name)
+}
+
+// schedule plays troubles, kills and drains at their times.
+func (r *run) schedule() {
+	at := func(seconds float64, f func()) {
+		r.wait.Add(1)
+		time.AfterFunc(time.Until(r.begin.Add(time.Duration(seconds*float64(time.Second)))), func() {
+			defer r.wait.Done()
+			if r.ctx.Err() == nil {
+				f()
+			}
+		})
+	}
+	for _, t := range r.day.Troubles {
+		at(t.At.Seconds, func() {
+			body, _ := json.Marshal(standin.Fault{Kind: t.Kind, Worker: t.Worker, Share: t.Share, Factor: t.Factor, Span: t.For.Seconds, What: t.What})
+			r.say("trouble %s at %s", t.Kind, t.Worker)
+			if err := post("http://"+r.ann.Control+"/fault", body); err != nil {
+				r.fail(fmt.Errorf("trouble %s: %w", t.Kind, err))
+			}
+		})
+	}
+	for _, k := range r.day.Kills {
+		at(k.At.Seconds, func() { r.kill(r.disp[k.Dispatcher], k.Down.Seconds) })
+	}
+	for _, d := range r.day.Drains {
+		heard, back := d.At.Seconds, d.At.Seconds+d.For.Seconds
+		for _, s := range r.day.Stale {
+			if heard >= s.At.Seconds && heard < s.At.Seconds+s.For.Seconds {
+				heard = s.At.Seconds + s.For.Seconds
+			}
+		}
+		at(heard, func() { r.tell(d.Worker, d.State) })
+		if d.For.Seconds > 0 && back > heard {
+			at(back, func() { r.tell(d.Worker, "ready") })
+		}
+	}
+}
+
+func (r *run) say(f string, a ...any) {
+	fmt.Fprintf(r.opt.Say, "%7.2f s  %s\n", time.Since(r.begin).Seconds(), fmt.Sprintf(f, a...))
+}
+
+func (r *run) fail(err error) {
+	r.mu.Lock()
+	r.errs = append(r.errs, err)
+	r.mu.Unlock()
+}
+
+// tell tells all dispatchers that run of a worker's state.
+func (r *run) tell(worker, state string) {
+	r.say("%s is %s", worker, state)
+	r.mu.Lock()
+	r.says[worker] = state
+	r.mu.Unlock()
+	for _, d := range r.disp {
+		r.tellOne(d, worker, state)
+	}
+}
+
+func (r *run) tellOne(d *dispatcher, worker, state string) {
+	body, _ := json.Marshal(map[string]string{"name": worker, "state": state})
+	if err := post("http://"+d.admin+"/workers", body); err != nil {
+		return // it is down, and is told when it is back
+	}
+	r.mu.Lock()
+	r.words = append(r.words, Word{d.name, worker, state, unix(time.Now())})
+	r.mu.Unlock()
+}
+
+func post(url string, body []byte) error {
+	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != 200 {
+		text, _ := io.ReadAll(resp.Body)
+		return fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// kill ends a dispatcher outright and starts it again.
+func (r *run) kill(d *dispatcher, down float64) {
+	r.say("dispatcher %s is killed", d.name)
+	from := unix(time.Now())
+	d.proc.cmd.Process.Kill()
+	<-d.proc.done
+	time.Sleep(time.Duration(down * float64(time.Second)))
+	err := r.startDispatcher(d)
+	r.mu.Lock()
+	r.downs = append(r.downs, Down{d.name, from, unix(time.Now())})
+	says := map[string]string{}
+	for w, s := range r.says {
+		says[w] = s
+	}
+	r.mu.Unlock()
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.say("dispatcher %s is back", d.name)
+	for w, s := range says {
+		if s != "ready" {
+			r.tellOne(d, w, s)
+		}
+	}
+}
+
+// guards sums what the hosts' guards counted: each is a fault of the decisions or of the host.
+func (r *run) guards() map[string]float64 {
+	out := map[string]float64{}
+	for _, d := range r.disp {
+		resp, err := http.Get("http://" + d.admin + "/metrics")
+		if err != nil {
+			continue
+		}
+		s := bufio.NewScanner(resp.Body)
+		for s.Scan() {
+			if rest, ok := strings.CutPrefix(s.Text(), `mastchute_guards_total{guard="`); ok {
+				name, v, _ := strings.Cut(rest, `"} `)
+				var n float64
+				fmt.Sscan(v, &n)
+				out[name] += n
+			}
+		}
+		resp.Body.Close()
+	}
+	return out
+}
+
+// end leaves no process behind.
+func (r *run) end() {
+	for _, d := range r.disp {
+		if d.proc != nil {
+			d.proc.cmd.Process.Kill()
+			<-d.proc.done
+		}
+		d.log.Close()
+	}
+	if r.fleet != nil {
+		r.fleet.cmd.Process.Kill()
+		<-r.fleet.done
+	}
+}
