--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -19,7 +21,102 @@
 )
 
 type labCmd struct {
-	Day labDayCmd `cmd:"" help:"Play a day over sockets in real processes and judge the five rules."`
+	Day   labDayCmd   `cmd:"" help:"Play a day over sockets in real processes and judge the five rules."`
+	Bench labBenchCmd `cmd:"" help:"Measure the gateway beside a bare relay and net/http's ReverseProxy."`
+	Echo  labEchoCmd  `cmd:"" hidden:""`
+	Relay labRelayCmd `cmd:"" hidden:""`
+	Proxy labProxyCmd `cmd:"" hidden:""`
+}
+
+type labBenchCmd struct {
+	Workers int           `default:"8" help:"Echo workers."`
+	Conns   int           `default:"64" help:"Client connections."`
+	Span    time.Duration `default:"3s" help:"Of each measurement."`
+	Rounds  int           `default:"3" help:"Measurements of each; the median counts."`
+	Idle    int           `default:"10000" help:"Idle connections for the memory figure; 0 leaves it out."`
+	JSON    bool          `name:"json" help:"Print JSON."`
+}
+
+func (c *labBenchCmd) Run() error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	rows, err := lab.Bench(lab.BenchOptions{Self: []string{self}, Workers: c.Workers, Conns: c.Conns, Span: c.Span, Rounds: c.Rounds,
+		Idle: c.Idle, Say: os.Stderr})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(rows)
+	}
+	fmt.Printf("%-18s %10s %14s %10s %10s %12s %12s\n", "target", "answers/s", "answers/CPU s", "p50 us", "p99 us", "p99 added us", "idle conn B")
+	for _, r := range rows {
+		fmt.Printf("%-18s %10.0f %14.0f %10.0f %10.0f %12.0f %12.0f\n", r.Target, r.PerSecond, r.PerCPU, r.P50*1e6, r.P99*1e6, r.AddedMs*1e3, r.IdleBytes)
+	}
+	fmt.Printf("mastchute: %.2f of (a)'s answers a second, %.2f of (a)'s and %.2f of (b)'s answers a CPU second; latency at %.0f a second\n",
+		rows[0].PerSecond/rows[1].PerSecond, rows[0].PerCPU/rows[1].PerCPU, rows[0].PerCPU/rows[2].PerCPU, rows[0].PerSecond/2)
+	return nil
+}
+
+var free = netip.MustParseAddrPort("127.0.0.1:0")
+
+type labEchoCmd struct{ Workers int }
+
+func (c *labEchoCmd) Run() error {
+	l, at, err := lab.Echo(slices.Repeat([]netip.AddrPort{free}, c.Workers))
+	if err != nil {
+		return err
+	}
+	for i, a := range at {
+		if i > 0 {
+			fmt.Print(" ")
+		}
+		fmt.Print(a)
+	}
+	fmt.Println()
+	return l.Run()
+}
+
+type labRelayCmd struct{ Workers string }
+
+func (c *labRelayCmd) Run() error {
+	at, err := addresses(c.Workers)
+	if err != nil {
+		return err
+	}
+	l, a, err := lab.Relay(free, at)
+	if err != nil {
+		return err
+	}
+	fmt.Println(a)
+	return l.Run()
+}
+
+type labProxyCmd struct{ Workers string }
+
+func (c *labProxyCmd) Run() error {
+	at, err := addresses(c.Workers)
+	if err != nil {
+		return err
+	}
+	ln, err := lab.Proxy("127.0.0.1:0", at)
+	if err != nil {
+		return err
+	}
+	fmt.Println(ln.Addr())
+	select {}
+}
+
+func addresses(list string) (out []netip.AddrPort, err error) {
+	for _, a := range strings.Fields(list) {
+		p, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, p)
+	}
+	return out, nil
 }
 
 type labDayCmd struct {
