--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -286,7 +286,7 @@
 			s.At(at+".group", "%q is no model group of this file: write one of groups[].name", m.Group)
 		}
 		between(at+".lanes", m.Lanes, 0, 1e6, "")
-		if other, ok := ids[ModelID(m.Name)]; ok {
+		if other, ok := ids[ModelID(m.Name)]; ok && other != m.Name {
 			s.At(at+".name", "its id is that of %q by chance: rename one", other)
 		}
 		ids[ModelID(m.Name)] = m.Name
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,120 @@
+package config
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+)
+
+var update = flag.Bool("update", false, "write the golden texts anew")
+
+const good = `name: d0
+groups:
+  - {name: read, effect: retriable, slo: 800ms, timeout: 5s, value: 1}
+  - {name: write, effect: deduped, scope: zone, window: 4s, slo: 1s, timeout: 1m}
+tenants: [{name: north, quota: 20}, {name: south}]
+models: [{name: "species-*", group: read, memory: 300MB, lanes: 4, load: 1.2s}, {name: "*", group: write}]
+workers: [{name: w1, address: "127.0.0.1:9001", zone: a}, {name: w2, address: "[::1]:9002"}]
+rules: {drain_grace: 500ms}
+`
+
+// Each file of testdata/bad is settings with faults; the file beside it tells all of them.
+func TestFaultsAreTold(t *testing.T) {
+	files, _ := filepath.Glob("testdata/bad/*.yaml")
+	if len(files) < 10 {
+		t.Fatalf("%d files", len(files))
+	}
+	for _, f := range files {
+		_, err := Load(f)
+		if err == nil {
+			t.Errorf("%s: taken", f)
+			continue
+		}
+		got := strings.ReplaceAll(err.Error(), f, filepath.Base(f)) + "\n"
+		golden := strings.TrimSuffix(f, ".yaml") + ".txt"
+		if *update {
+			os.WriteFile(golden, []byte(got), 0o644)
+		}
+		if want, _ := os.ReadFile(golden); string(want) != got {
+			t.Errorf("%s:\ngot  %swant %s", f, got, want)
+		}
+	}
+}
+
+func TestDefaultsStayWherePartIsWritten(t *testing.T) {
+	c, err := Parse("x", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := Default()
+	if c.Rules.DrainGrace.Seconds != 0.5 || c.Rules.ColdShare != d.Rules.ColdShare || c.Limits != d.Limits || c.Models[0].Memory.Bytes != 300e6 {
+		t.Errorf("%+v", c.Rules)
+	}
+	// Written out and read again it is the same.
+	text, err := yaml.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Parse("again", text)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	if diff := c.Changed(again); len(diff) > 0 {
+		t.Errorf("changed by writing and reading: %v", diff)
+	}
+}
+
+// What the decisions read is what the settings hold, by the names that control asks for.
+func TestSettingsReachTheDecisions(t *testing.T) {
+	c, err := Parse("x", []byte(good+"loads: {on_miss: miss, window: 10s, few: 5, share: 0.1, keep: 3s}\nforwards: {most: 5, probes: true}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings()
+	for name, want := range map[string]any{"groups": 2.0, "groups.1.effect": "deduped", "groups.1.scope": "zone", "groups.1.window": 4.0,
+		"groups.1.timeout": 60.0, "tenants": 2.0, "tenants.0.quota": 20.0, "rules.drain_grace": 0.5, "models.on_miss": "miss",
+		"models.load_window": 10.0, "models.load_few": 5.0, "models.keep": 3.0, "limits.max_forwards": 5.0, "limits.probes": true,
+		"load_report.fields.0": "inflight", "tick": 0.001, "discovery": "push"} {
+		if s[name] != want {
+			t.Errorf("%s is %v, want %v", name, s[name], want)
+		}
+	}
+	if _, ok := s["tenants.1.quota"]; ok {
+		t.Error("a tenant without a share has a quota")
+	}
+	// Every name that control reads is set.
+	src, err := os.ReadFile("../../control/control.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range strings.Split(string(src), "d.set.")[1:] {
+		if _, rest, ok := strings.Cut(part, `("`); ok {
+			name, _, _ := strings.Cut(rest, `"`)
+			if _, ok := s[name]; !ok {
+				t.Errorf("control reads %q, which no setting gives", name)
+			}
+		}
+	}
+}
+
+func TestWhatReloadCannotChange(t *testing.T) {
+	a, _ := Parse("a", []byte(good))
+	b, err := Parse("b", []byte(strings.Replace(good, "drain_grace: 500ms", "drain_grace: 400ms", 1)+"listen: 127.0.0.1:1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(a.Changed(b), " "); got != "listen rules" {
+		t.Errorf("%q", got)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add("groups: [{name: a, effect: x}]")
+	f.Add("workers: [{address: 5}]\nlimits: {body: 1ZB}")
+	f.Fuzz(func(t *testing.T, text string) { Parse("x", []byte(text)) }) // must not panic
+}
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -64,7 +64,7 @@
 	}{{"us", 1e-6}, {"ms", 1e-3}, {"s", 1}, {"m", 60}, {"h", 3600}} {
 		if num, ok := strings.CutSuffix(d.text, u.unit); ok {
 			if v, err := strconv.ParseFloat(num, 64); err == nil && v >= 0 && !math.IsInf(v, 0) && !math.IsNaN(v) {
-				d.Seconds = v * u.s
+				d.Seconds, d.text = v*u.s, ""
 				return ""
 			}
 		}
@@ -97,7 +97,7 @@
 	}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"kB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1}} {
 		if num, ok := strings.CutSuffix(z.text, u.unit); ok {
 			if v, err := strconv.ParseFloat(strings.TrimSpace(num), 64); err == nil && v >= 0 && v*u.n < 1<<60 {
-				z.Bytes = int64(v * u.n)
+				z.Bytes, z.text = int64(v*u.n), ""
 				return ""
 			}
 		}
@@ -159,6 +159,15 @@
 				p.Line, p.Column = t.Position.Line, t.Position.Column
 			}
 		}
+		if from, to, ok := strings.Cut(strings.TrimPrefix(p.Text, "cannot unmarshal "), " into Go "); ok {
+			to = to[strings.LastIndexByte(to, ' ')+1:]
+			for kind, say := range map[string]string{"int": "a whole number", "float": "a number", "bool": "true or false", "[]": "a list", "uint": "a whole number"} {
+				if strings.HasPrefix(to, kind) {
+					to = say
+				}
+			}
+			p.Text = fmt.Sprintf("a %s stands here: write %s", from, to)
+		}
 		if strings.HasPrefix(p.Text, "unknown field") {
 			p.Text += ": there is no such setting here; docs/operators.md lists all"
 		}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,148 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"mastchute/control"
+	"mastchute/internal/config"
+)
+
+func entry(name string, state control.WorkerState) Entry {
+	return Entry{Name: name, Addr: netip.MustParseAddrPort("127.0.0.1:90"), State: state, Weight: 1}
+}
+
+func names(list []*Worker) string {
+	var out []string
+	for _, w := range list {
+		out = append(out, w.Name)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestStricterWordHolds(t *testing.T) {
+	r := New(config.WorkerID)
+	say := func(want string, changed []*Worker, err error) {
+		t.Helper()
+		if err != nil || names(changed) != want {
+			t.Errorf("changed %q, want %q, %v", names(changed), want, err)
+		}
+	}
+	is := func(name string, s control.WorkerState, from Source) {
+		t.Helper()
+		if w := r.Named(name); w == nil || w.State != s || w.Line().State != s || w.From != from {
+			t.Errorf("%s: %+v", name, w)
+		}
+	}
+	c, err := r.Replace(Config, []Entry{entry("a", control.Ready), entry("b", control.Ready)}, 1)
+	say("a b", c, err)
+	c, err = r.Replace(File, []Entry{entry("a", control.Draining), entry("c", control.Ready)}, 2)
+	say("a c", c, err)
+	is("a", control.Draining, File)
+	c, err = r.Rule(entry("c", control.Gone), 3)
+	say("c", c, err)
+	is("c", control.Gone, Admin)
+	if w := r.Named("c"); w.Heard != 3 || w.Version != r.Version {
+		t.Errorf("heard at %g in version %d of %d", w.Heard, w.Version, r.Version)
+	}
+	c, err = r.Replace(File, []Entry{entry("c", control.Ready)}, 4) // the file takes a's drain back; c stays ruled
+	say("a", c, err)
+	is("a", control.Ready, Config)
+	is("c", control.Gone, Admin)
+	c, err = r.Rule(entry("c", control.Ready), 5)
+	say("c", c, err)
+	c, err = r.Replace(Config, nil, 6) // b is named by nobody now; a neither
+	say("a b", c, err)
+	is("b", control.Gone, Config)
+	if c, _ = r.Replace(Config, nil, 7); len(c) > 0 {
+		t.Errorf("nothing new, yet %q changed", names(c))
+	}
+	if _, err := r.Rule(Entry{Name: "x", State: control.Draining}, 8); err == nil {
+		t.Error("an unknown worker without an address was taken")
+	}
+}
+
+func TestStartsOnlyGoForward(t *testing.T) {
+	r := New(config.WorkerID)
+	r.Replace(Config, []Entry{entry("a", control.Ready)}, 0)
+	w := r.Named("a")
+	for _, c := range []struct {
+		epoch float64
+		news  bool
+	}{{100, true}, {100, false}, {90, false}, {101, true}} {
+		if got := r.Started(w, c.epoch, c.epoch-50, 1); got != c.news {
+			t.Errorf("start %g: news %v", c.epoch, got)
+		}
+	}
+	if w.Line().Start != 51 {
+		t.Errorf("start %g", w.Line().Start)
+	}
+}
+
+func TestCollisionIsNamed(t *testing.T) {
+	r := New(func(string) control.WorkerID { return 7 })
+	if _, err := r.Replace(Config, []Entry{entry("a", control.Ready)}, 0); err != nil {
+		t.Fatal(err)
+	}
+	_, err := r.Replace(File, []Entry{entry("b", control.Ready)}, 0)
+	if err == nil || !strings.Contains(err.Error(), `"a" and "b"`) {
+		t.Errorf("%v", err)
+	}
+	if _, err := r.Rule(entry("b", control.Gone), 0); err == nil {
+		t.Error("a colliding name was taken from the admin interface")
+	}
+}
+
+// Whatever the sources say in whatever order, a worker is as strict as the strictest word that stands.
+func TestAgainstPlainRule(t *testing.T) {
+	states := []control.WorkerState{control.Ready, control.Draining, control.Gone}
+	for seed := range uint64(100) {
+		rnd := rand.New(rand.NewPCG(seed, 0))
+		r := New(config.WorkerID)
+		said := [2]map[string]control.WorkerState{{}, {}}
+		ruled := map[string]control.WorkerState{}
+		version := uint32(0)
+		for now := range 40 {
+			if s := Source(rnd.IntN(3)); s < Admin {
+				said[s] = map[string]control.WorkerState{}
+				var list []Entry
+				for _, n := range []string{"a", "b", "c"} {
+					if rnd.IntN(2) == 0 {
+						said[s][n] = states[rnd.IntN(3)]
+						list = append(list, entry(n, said[s][n]))
+					}
+				}
+				r.Replace(s, list, float64(now))
+			} else if w := r.Named("a"); w != nil && w.Listed {
+				ruled["a"] = states[rnd.IntN(3)]
+				r.Rule(Entry{Name: "a", State: ruled["a"]}, float64(now))
+			}
+			for _, n := range []string{"a", "b", "c"} {
+				want, named := control.Ready, false
+				for s := range said {
+					if st, ok := said[s][n]; ok {
+						named = true
+						if strict(st) > strict(want) {
+							want = st
+						}
+					}
+				}
+				if st, ok := ruled[n]; ok && strict(st) > strict(want) {
+					want = st
+				}
+				if !named {
+					want = control.Gone
+				}
+				if w := r.Named(n); w != nil && w.State != want {
+					t.Fatalf("seed %d step %d: %s is %d, want %d", seed, now, n, w.State, want)
+				}
+			}
+			if r.Version < version {
+				t.Fatal("version went back")
+			}
+			version = r.Version
+		}
+	}
+}
