--- /dev/null
+++ b/internal/gateway/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package gateway
+
+const raceOn = true
