--- /dev/null
+++ b/internal/lab/day_test.go
@@ -0,0 +1,116 @@
+package lab_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mastchute/internal/cli"
+	"mastchute/internal/lab"
+)
+
+// The processes of a day are this test's own program, told by the environment to be mastchute.
+func TestMain(m *testing.M) {
+	if os.Getenv("MASTCHUTE_TEST_CHILD") == "1" {
+		os.Exit(cli.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+const short = `name: short
+seed: 3
+length: 4s
+dispatchers: 2
+settings:
+  groups:
+    - {name: read, effect: retriable, slo: 800ms, timeout: 2s}
+    - {name: write, effect: deduped, scope: zone, window: 2s, slo: 800ms, timeout: 2s}
+    - {name: once, effect: non-retriable, slo: 800ms, timeout: 2s}
+  rules: {drain_grace: 300ms, cold_share: 0.3, warm_after: 2s, overload_factor: 4, fall: 1s}
+  loads: {on_miss: miss, window: 2s, few: 10, share: 0.3, keep: 5s}
+fleet: {workers: 4, zones: 2, cores: 4, memory: 1GB, queue: 16}
+models:
+  - {name: fern, count: 3, group: read, memory: 200MB, lanes: 4, work: 20ms, fetch: 50ms, boot: 20ms, share: 2}
+  - {name: label, count: 2, group: write, memory: 200MB, lanes: 4, work: 20ms, fetch: 50ms, boot: 20ms, share: 1}
+  - {name: number, group: once, memory: 200MB, lanes: 4, work: 20ms, fetch: 50ms, boot: 20ms, share: 1}
+clients: {rate: 80, retries: 2, impatient: 0.05}
+troubles:
+  - {at: 500ms, for: 1s, kind: reset, worker: w1, share: 0.7}
+  - {at: 1s, for: 500ms, kind: vanish, worker: w2}
+  - {at: 2s, for: 1s, kind: fast_errors, worker: w3}
+kills: [{at: 1800ms, dispatcher: 1, down: 200ms}]
+drains: [{at: 1500ms, for: 1500ms, worker: w4}, {at: 3s, worker: w1, state: gone}]
+`
+
+func TestShortDayKeepsTheRules(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	day, err := lab.ParseDay("short", []byte(short))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rep, err := lab.Play(context.Background(), day, lab.Options{Self: []string{self}, Env: []string{"MASTCHUTE_TEST_CHILD=1"}, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	rep.Write(&out)
+	if rep.Broken() || len(rep.Guards) > 0 {
+		t.Errorf("\n%s", out.String())
+	}
+	for _, f := range rep.Findings {
+		if f.Tests == 0 {
+			t.Errorf("rule %d was not put to the test", f.Rule)
+		}
+	}
+	for i, c := range rep.Exits {
+		if c != 0 {
+			t.Errorf("dispatcher %d ended with exit code %d", i, c)
+		}
+	}
+	if rep.Service < 0.5 {
+		t.Errorf("service %.3f: hardly anything was returned\n%s", rep.Service, out.String())
+	}
+	t.Logf("\n%s", out.String())
+}
+
+func TestDaysOfTheRepositoryAreGood(t *testing.T) {
+	files, _ := filepath.Glob("../../days/*.yaml")
+	if len(files) < 4 {
+		t.Errorf("%d days", len(files))
+	}
+	for _, f := range files {
+		if _, err := lab.LoadDay(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestBadDaysAreRefused(t *testing.T) {
+	for _, c := range []struct{ old, new, says string }{
+		{"at: 500ms, for: 1s", "at: 9s, for: 1s", "troubles[0].at: 9s is not within the day of 4s"},
+		{"kind: reset", "kind: rust", `troubles[0].kind: "rust" is not known`},
+		{"worker: w2", "worker: w9", `troubles[1].worker: "w9" is no worker of this day`},
+		{"dispatcher: 1", "dispatcher: 2", "kills[0].dispatcher: there is no dispatcher 2"},
+		{"rate: 80", "rate: -1", "clients.rate: -1 is out of range"},
+		{"rate: 80", "rate: 100000", "clients.rate: 100000 is out of range"},
+		{"workers: 4", "workers: 100000", "fleet.workers: 100000 is out of range"},
+		{"group: once", "group: twice", `models[2].group: "twice" is no model group`},
+		{"memory: 200MB, lanes: 4, work: 20ms, fetch: 50ms, boot: 20ms, share: 2", "memory: 2GB", "models[0].memory: no worker can hold one copy"},
+		{"state: gone", "state: lost", `drains[1].state: "lost" is not known`},
+		{"few: 10, share: 0.3", "few: 0", "settings.loads.few: a window without few or share"},
+		{"length: 4s", "length: 4", `length: "4" is not a span`},
+		{"seed: 3", "sead: 3", "unknown field"},
+	} {
+		text := strings.Replace(short, c.old, c.new, 1)
+		_, err := lab.ParseDay("day.yaml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.says) || !strings.HasPrefix(err.Error(), "day.yaml:") {
+			t.Errorf("%s for %s: %v", c.new, c.old, err)
+		}
+	}
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -272,8 +272,10 @@
 	go func() { <-p.done; pw.Close() }()
 	select {
 	case a := <-first:
-		d.addr, d.admin = a.Listen, a.Admin
-		d.cfg.Listen, d.cfg.Admin = a.Listen, a.Admin
+		if d.addr == "" {
+			d.addr, d.admin = a.Listen, a.Admin
+			d.cfg.Listen, d.cfg.Admin = a.Listen, a.Admin
+		}
 	case <-d.proc.done:
 		log, _ := os.ReadFile(r.path(d.name + ".log"))
 		return fmt.Errorf("dispatcher %s ended with exit code %d: %s", d.name, d.proc.code, log)
