--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -128,6 +128,13 @@
 	}
 	addrs[3] = netip.MustParseAddrPort(strings.Fields(echo)[0])
 	pids[3] = procs[0].cmd.Process.Pid
+	if o.Idle > 0 { // before any load, so that no memory is there to be used again
+		for i := range 3 {
+			if rows[i].IdleBytes, err = idleBytes(addrs[i], pids[i], o.Idle); err != nil {
+				return nil, err
+			}
+		}
+	}
 	closed := make([][][3]float64, len(rows))
 	for range max(1, o.Rounds) {
 		for i := range rows {
@@ -168,13 +175,6 @@
 	for i := range rows {
 		rows[i].AddedMs = (rows[i].P99 - rows[3].P99) * 1e3
 	}
-	if o.Idle > 0 {
-		for i := range 3 {
-			if rows[i].IdleBytes, err = idleBytes(addrs[i], pids[i], o.Idle); err != nil {
-				return nil, err
-			}
-		}
-	}
 	return rows, nil
 }
 
