--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
 	"strconv"
 
@@ -204,6 +205,11 @@
 	f.told = classify(h, f.g.cfg.Report)
 	f.status, f.length = h.Status, h.Length
 	f.g.heard(f.w, &f.told)
+	if m := f.q.model; f.told.result == control.Returned { // what the catalogue does not say, workers may
+		m.memory = cmp.Or(m.memory, f.told.memory)
+		m.lanes = cmp.Or(m.lanes, f.told.lanes)
+		m.load = cmp.Or(m.load, f.told.load)
+	}
 	if f.told.result != control.Returned || f.q.final {
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -350,6 +350,62 @@
 	}
 }
 
+// A long body goes to the worker in pieces, whole; it is not held a second time while the worker reads slowly.
+func TestLongBodiesAreNotHeldTwice(t *testing.T) {
+	goOn := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	sum := make(chan int, 1)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				br := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if q.URL.Path != "/v2/load" {
+						<-goOn
+						b, _ := io.ReadAll(q.Body)
+						sum <- len(b)
+					}
+					reply(200, "", "")(c, q)
+				}
+			}()
+		}
+	}()
+	r := newRig(t, "", nil, &scripted{name: "w1", ln: ln})
+	out := make(chan got, 1)
+	body := strings.Repeat("x", 8<<20)
+	go func() { out <- r.ask("read-1", "", body) }()
+	var f *forward
+	r.until("the forward waits for the worker to read", func() bool {
+		for _, q := range r.g.slab {
+			if q.live && q.n > 0 && q.forwards[0].call.Peek > 0 {
+				f = q.forwards[0]
+			}
+		}
+		return f != nil && f.call.Waiting() > 0
+	})
+	r.on(func() {
+		if n := f.call.Waiting(); n > 256<<10 || f.call.Whole() {
+			t.Errorf("%d bytes are held for the worker, whole %v", n, f.call.Whole())
+		}
+	})
+	close(goOn)
+	if a := <-out; a.status != 200 || <-sum != len(body) {
+		t.Errorf("%+v", a)
+	}
+}
+
 // broke is a module with a fault.
 type broke struct {
 	control.Module
--- a/internal/gateway/taking.go
+++ b/internal/gateway/taking.go
@@ -306,8 +306,8 @@
 	q.model.group.meter.final(a, now-q.taken)
 	g.logFinal(q, a, status, now)
 	for _, f := range q.forwards[:q.n] {
-		if !f.done && f.call.Peek == 0 {
-			g.end(f, control.Moot)
+		if !f.done && !f.call.Whole() {
+			g.end(f, control.Cancelled)
 		}
 	}
 	g.Loop.Later(g.tellFn) // also lets its place go
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -58,6 +58,7 @@
 	idle   []*clientConn // the one used last at the end
 	all    map[*clientConn]struct{}
 	queue  []*Call
+	first  int // of the queue; those before it have gone
 	closed bool
 }
 
@@ -82,7 +83,7 @@
 func (p *Pool) Conns() int { return len(p.all) }
 
 // Queued is how many calls wait for a connection.
-func (p *Pool) Queued() int { return len(p.queue) }
+func (p *Pool) Queued() int { return len(p.queue) - p.first }
 
 // Do sends a request: head whole with its empty line, and body. Both are to stay as they are until the call has ended.
 func (p *Pool) Do(c *Call, head, body []byte) {
@@ -112,11 +113,14 @@
 
 // next gives a connection's place to a call that waits.
 func (p *Pool) next(conn *clientConn) {
-	for len(p.queue) > 0 {
-		c := p.queue[0]
-		copy(p.queue, p.queue[1:])
-		p.queue[len(p.queue)-1] = nil
-		p.queue = p.queue[:len(p.queue)-1]
+	if p.Queued() > 0 {
+		c := p.queue[p.first]
+		p.queue[p.first] = nil
+		if p.first++; 2*p.first >= len(p.queue) {
+			n := copy(p.queue, p.queue[p.first:])
+			clear(p.queue[n:])
+			p.queue, p.first = p.queue[:n], 0
+		}
 		c.queued = false
 		if conn != nil {
 			conn.send(c)
@@ -147,7 +151,7 @@
 // Abandon ends, with ErrAbandoned and soon, every call of which nothing was sent: those that wait for a connection,
 // and those whose connection is not up.
 func (p *Pool) Abandon() {
-	calls := append([]*Call(nil), p.queue...)
+	calls := append([]*Call(nil), p.queue[p.first:]...)
 	for conn := range p.all {
 		if conn.call != nil && !conn.conn.Up() {
 			calls = append(calls, conn.call)
@@ -176,7 +180,7 @@
 	c.given = false
 	if c.queued {
 		for i, q := range c.pool.queue {
-			if q == c {
+			if q == c && i >= c.pool.first {
 				c.pool.queue = append(c.pool.queue[:i], c.pool.queue[i+1:]...)
 				break
 			}
@@ -198,6 +202,18 @@
 	return c.wrote || c.conn != nil && c.Peek > 0 && c.conn.conn.Sent() > c.from
 }
 
+// Whole tells whether all of the request has been handed to a connection that is up: until then head and body are in
+// use.
+func (c *Call) Whole() bool { return c.Peek > 0 && len(c.body) == 0 }
+
+// Waiting is how many bytes of requests wait for the peer on the call's connection.
+func (c *Call) Waiting() int {
+	if c.conn == nil {
+		return 0
+	}
+	return c.conn.conn.Waiting()
+}
+
 // Pause and Resume hold the answer's body back.
 func (c *Call) Pause() {
 	if c.conn != nil {
@@ -244,8 +260,20 @@
 	c.call, call.conn, c.headed = call, c, false
 	call.from, call.Peek = c.conn.Queued(), c.pool.Loop.Now()
 	c.conn.Write(call.head)
-	if len(call.body) > 0 {
-		c.conn.Write(call.body)
+	c.more()
+}
+
+// bodyPiece is how much of a request's body is handed to the connection at a time, so that long ones are not held twice.
+const bodyPiece = 128 << 10
+
+// more writes the next piece of the request's body.
+func (c *clientConn) more() {
+	if call := c.call; len(call.body) > 0 {
+		n := min(len(call.body), bodyPiece)
+		c.conn.Write(call.body[:n])
+		if call.body = call.body[n:]; len(call.body) > 0 {
+			c.conn.NotifyDrained()
+		}
 	}
 }
 
@@ -257,7 +285,11 @@
 	}
 }
 
-func (c *clientConn) Drained(*loop.Conn) {}
+func (c *clientConn) Drained(*loop.Conn) {
+	if c.call != nil {
+		c.more()
+	}
+}
 
 func (c *clientConn) Closed(_ *loop.Conn, err error) {
 	c.pool.Loop.Cancel(&c.timer)
@@ -325,7 +357,7 @@
 			}
 		}
 		// Whole. What stands behind it, or a request not wholly sent, spoils the connection for others.
-		reuse := !c.head.Close && used == len(b) && conn.Waiting() == 0
+		reuse := !c.head.Close && used == len(b) && conn.Waiting() == 0 && len(call.body) == 0
 		c.call = nil
 		c.leave(call)
 		call.Caller.End(nil)
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -16,8 +17,9 @@
 	Day      string             `json:"day"`
 	Findings []Finding          `json:"rules"`
 	Groups   []GroupReport      `json:"groups"`
-	Service  float64            `json:"service"` // value returned within the SLO time over value asked for
-	Warm     float64            `json:"warm"`    // share of served forwards that found a warm copy
+	Service  float64            `json:"service"`          // value returned within the SLO time over value asked for
+	Warm     float64            `json:"warm"`             // share of served forwards that found a warm copy
+	WarmLate float64            `json:"warm_second_half"` // the same in the second half of the day
 	Served   int                `json:"served"`
 	Forwards int                `json:"forwards"`
 	Orders   int                `json:"orders"`
@@ -113,7 +115,11 @@
 	if asked > 0 {
 		rep.Service = got / asked
 	}
-	warm := 0
+	warm, served2, warm2 := 0, 0, 0
+	half := math.Inf(1)
+	if len(e.Tries) > 0 {
+		half = e.Tries[0].Sent + day.Seconds.Seconds/2
+	}
 	for _, r := range e.Records {
 		switch r.Event {
 		case "arrive":
@@ -122,6 +128,11 @@
 			if rep.Served++; r.Found == "warm" {
 				warm++
 			}
+			if r.T > half {
+				if served2++; r.Found == "warm" {
+					warm2++
+				}
+			}
 		case "order":
 			rep.Orders++
 		case "load":
@@ -134,6 +145,7 @@
 	}
 	if rep.Served > 0 {
 		rep.Warm = float64(warm) / float64(rep.Served)
+		rep.WarmLate = float64(warm2) / math.Max(1, float64(served2))
 	}
 }
 
@@ -170,6 +182,6 @@
 		guards = append(guards, fmt.Sprintf("%s %.0f", k, v))
 	}
 	sort.Strings(guards)
-	fmt.Fprintf(out, "service %.3f; found warm %.3f of %d served; %d forwards, %d turned away, %d repeats dropped, %d orders, %d loads; guards: %s; exits %v\n",
-		rep.Service, rep.Warm, rep.Served, rep.Forwards, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), rep.Exits)
+	fmt.Fprintf(out, "service %.3f; found warm %.3f of %d served (second half %.3f); %d forwards, %d turned away, %d repeats dropped, %d orders, %d loads; guards: %s; exits %v\n",
+		rep.Service, rep.Warm, rep.Served, rep.WarmLate, rep.Forwards, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), rep.Exits)
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -49,7 +49,8 @@
 	// Data gets all bytes read and not yet used, and returns how many it used. b is valid for this call only. The
 	// rest comes again with the next bytes, or after Resume.
 	Data(c *Conn, b []byte) (used int)
-	// Drained tells that all written bytes have gone to the kernel, after some could not go at once.
+	// Drained tells that all written bytes have gone to the kernel, after some could not go at once, or after
+	// NotifyDrained.
 	Drained(c *Conn)
 	// Closed tells, exactly once, that the connection ended by the peer (io.EOF), by an error, or did not come up.
 	// It is not called after Close or CloseFlushed.
@@ -77,6 +78,7 @@
 	scratch   []byte
 	free      [][]byte
 	dirty     []*Conn
+	flushing  []*Conn
 	refeed    []*Conn
 	refeeding []*Conn
 	later     []func() // called on this loop in this turn, after what is at hand
@@ -259,15 +261,14 @@
 }
 
 func (l *Loop) flush() {
-	for i := 0; i < len(l.dirty); i++ {
-		c := l.dirty[i]
-		l.dirty[i] = nil
+	l.dirty, l.flushing = l.flushing[:0], l.dirty // what is written meanwhile waits for the next round
+	for i, c := range l.flushing {
+		l.flushing[i] = nil
 		c.dirty = false
 		if c.fd >= 0 {
 			c.flush()
 		}
 	}
-	l.dirty = l.dirty[:0]
 }
 
 func (l *Loop) close() {
@@ -456,6 +457,7 @@
 	paused   bool
 	again    bool // in the loop's list of those with bytes left over
 	waits    bool // the kernel took less than there was
+	notify   bool // Drained is wanted in any case
 	linger   bool
 	timer    Timer // connect time-out, then linger
 }
@@ -723,15 +725,19 @@
 		unix.Shutdown(c.fd, unix.SHUT_WR)
 		c.l.Start(&c.timer, lingerSpan)
 	}
-	if c.waits {
+	tell := c.waits || c.notify
+	if c.notify = false; c.waits {
 		c.waits = false
 		c.want(c.interest &^ unix.EPOLLOUT)
-		if !c.linger {
-			c.h.Drained(c)
-		}
+	}
+	if tell && !c.linger {
+		c.h.Drained(c)
 	}
 }
 
+// NotifyDrained asks for Drained after what is written now, also where it goes out at once.
+func (c *Conn) NotifyDrained() { c.notify = true }
+
 func sockaddr(a netip.AddrPort) (int, unix.Sockaddr) {
 	if a.Addr().Unmap().Is4() {
 		return unix.AF_INET, &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().Unmap().As4()}
