--- /dev/null
+++ b/control/cost_test.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+)
+
+// answering swallows actions but those that are to be answered.
+type answering struct {
+	sent []Outcome
+	n    int
+}
+
+func (q *answering) Forward(i InferenceID, w WorkerID, _ Seconds) {
+	q.sent = append(q.sent, Outcome{ID: i, Worker: w, Took: 0.05, Found: FoundWarm, Crowd: -1, Final: true})
+}
+func (q *answering) Shed(InferenceID, Seconds)    { q.n++ }
+func (q *answering) Fail(InferenceID)             { q.n++ }
+func (q *answering) Cancel(InferenceID, int)      {}
+func (q *answering) Order(WorkerID, ModelID, int) {}
+func (q *answering) Unload(WorkerID, ModelID)     {}
+func (q *answering) Probe(WorkerID)               {}
+func (q *answering) CloseIdle(WorkerID)           {}
+func (q *answering) Tell(PeerID, []byte)          {}
+func (q *answering) Subscribe(bool)               {}
+func (q *answering) FetchList()                   {}
+func (q *answering) Wake(Seconds, TimerID)        {}
+func (q *answering) Log(string)                   {}
+
+// BenchmarkInference is one inference from arrival to its answer, without trouble, by number of workers.
+func BenchmarkInference(b *testing.B) {
+	for _, n := range []int{16, 90, 1000} {
+		b.Run(fmt.Sprint(n, " workers"), func(b *testing.B) {
+			a := &answering{}
+			d := New(1, Settings{"limits.max_forwards": 3.0, "limits.second_copies": true, "models.keep": 8.0, "groups": 1.0, "groups.0.effect": "retriable",
+				"groups.0.slo": 1.0, "groups.0.timeout": 5.0, "rules.warm_after": 10.0, "rules.cold_share": 0.2, "tick": 0.001,
+				"load_report.fields": 1.0, "load_report.fields.0": "inflight"}, a)
+			var list []WorkerInfo
+			for i := range n {
+				list = append(list, WorkerInfo{ID: WorkerID(i + 1), State: Ready, Weight: 1, Start: -1e6})
+			}
+			now, id := 0.0, InferenceID(0)
+			d.At(0)
+			d.Workers(ListComplete, 1, list)
+			d.Settle()
+			one := func() {
+				id++
+				now += 0.05 / (2 * float64(n)) // two in hand at each worker
+				d.At(now)
+				d.Inference(Inference{ID: id, Model: ModelID(id % InferenceID(2*n)), NotAfter: now + 5})
+				d.Settle()
+				if len(a.sent) > 2*n {
+					o := a.sent[0]
+					a.sent = a.sent[:copy(a.sent, a.sent[1:])]
+					d.Outcome(o)
+					d.Settle()
+				}
+				if id%64 == 0 {
+					d.Timer(0)
+					d.Settle()
+				}
+			}
+			for range 40 * n {
+				one()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				one()
+			}
+			b.ReportMetric(float64(a.n)/float64(b.N), "shed/op")
+		})
+	}
+}
--- /dev/null
+++ b/control/trace_test.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the traces anew: only where decisions are meant to change")
+
+// drawn is a world drawn from a seed: it answers what the dispatcher does, well or badly, after a while.
+type drawn struct {
+	rnd   *rand.Rand
+	d     *Dispatcher
+	now   Seconds
+	due   []due
+	lines []string
+	n     map[InferenceID]int
+	final map[InferenceID]bool
+	label string
+}
+
+type due struct {
+	at  Seconds
+	seq int
+	f   func()
+}
+
+func (w *drawn) say(f string, a ...any) {
+	w.lines = append(w.lines, fmt.Sprintf("%.4f ", w.now)+fmt.Sprintf(f, a...))
+}
+
+func (w *drawn) after(s Seconds, f func()) { w.due = append(w.due, due{w.now + s, len(w.due), f}) }
+
+func (w *drawn) Forward(i InferenceID, to WorkerID, _ Seconds) {
+	w.say("forward %d %d", i, to)
+	f := w.n[i]
+	w.n[i]++
+	o := Outcome{ID: i, Forward: f, Worker: to, Crowd: -1, Took: 0.02 + w.rnd.ExpFloat64()*0.08, Report: []float64{float64(w.rnd.IntN(9)), 1}}
+	switch w.rnd.IntN(12) {
+	case 0:
+		o.Result = Full
+	case 1:
+		o.Result = []Result{Errored, Reset, ConnectFailed, TimedOut}[w.rnd.IntN(4)]
+	case 2:
+		o.Result, o.Took = Missed, 0.002
+	case 3:
+		o.Took = 2
+	default:
+		o.Found = []Found{FoundWarm, FoundWarm, FoundWarm, BeganLoad, AwaitedLoad}[w.rnd.IntN(5)]
+		if o.Found != FoundWarm {
+			o.Took += 0.5
+		}
+	}
+	if int(to)%7 == 3 && math.Mod(w.now, 6) > 4 { // silence now and then
+		o.Took += 4
+	}
+	w.after(o.Took, func() {
+		o.Final = w.final[i] || o.Result == Returned
+		w.final[i] = o.Final
+		w.d.Outcome(o)
+	})
+}
+func (w *drawn) Shed(i InferenceID, s Seconds) { w.say("shed %d %.4f", i, s); w.final[i] = true }
+func (w *drawn) Fail(i InferenceID)            { w.say("fail %d", i); w.final[i] = true }
+func (w *drawn) Cancel(i InferenceID, f int)   { w.say("cancel %d.%d", i, f) }
+func (w *drawn) Order(to WorkerID, m ModelID, n int) {
+	w.say("order %d %d %d", to, m, n)
+	r := OrderResult{Worker: to, Model: m, Took: 0.2 + w.rnd.Float64(), Copies: 1}
+	if w.rnd.IntN(6) == 0 {
+		r.Result, r.Copies = Full, 0
+	}
+	w.after(r.Took, func() { w.d.Ordered(r) })
+}
+func (w *drawn) Unload(to WorkerID, m ModelID) { w.say("unload %d %d", to, m) }
+func (w *drawn) Probe(to WorkerID) {
+	w.say("probe %d", to)
+	w.after(0.003, func() { w.d.Probed(ProbeResult{Worker: to, Report: []float64{float64(w.rnd.IntN(9)), 1}}) })
+}
+func (w *drawn) CloseIdle(WorkerID)  {}
+func (w *drawn) Tell(PeerID, []byte) {}
+func (w *drawn) Subscribe(on bool)   { w.say("subscribe %v", on) }
+func (w *drawn) FetchList()          { w.say("fetch") }
+func (w *drawn) Wake(s Seconds, t TimerID) {
+	w.after(s, func() { w.d.Timer(t) })
+}
+func (w *drawn) Log(string) {}
+
+// world plays one seed and returns what the dispatcher did.
+func world(seed uint64) []string {
+	w := &drawn{rnd: rand.New(rand.NewPCG(seed, 5)), n: map[InferenceID]int{}, final: map[InferenceID]bool{}}
+	rnd := w.rnd
+	pick := func(s ...string) string { return s[rnd.IntN(len(s))] }
+	workers, fellows := 4+rnd.IntN(40), []float64{1, 2, 40}[rnd.IntN(3)]
+	s := Settings{"limits.max_forwards": float64(1 + rnd.IntN(6)), "limits.second_copies": rnd.IntN(3) > 0, "limits.cancel": rnd.IntN(4) > 0,
+		"limits.probes": rnd.IntN(2) == 0, "limits.max_retry_after": 0.5, "models.keep": 1 + 8*rnd.Float64(), "models.on_miss": pick("miss", "load"),
+		"models.orders": rnd.IntN(4) > 0, "rules.warm_after": 5.0, "rules.cold_share": 0.2, "rules.fall": 1.0, "rules.overload_factor": 3.0,
+		"tick": 0.001, "dispatchers": fellows, "discovery": pick("push", "ask"), "groups": 3.0, "tenants": 2.0, "tenants.0.quota": 20.0 * fellows,
+		"load_report.fields": float64(rnd.IntN(2)), "load_report.fields.0": "inflight"}
+	if rnd.IntN(2) == 0 {
+		s["models.load_window"], s["models.load_few"], s["models.load_share"] = 5.0, 3.0, 0.2
+	}
+	for i, e := range []string{"retriable", "deduped", "non-retriable"} {
+		at := fmt.Sprintf("groups.%d.", i)
+		s[at+"effect"], s[at+"scope"], s[at+"window"] = e, pick("all", "zone", "cell"), 2.0
+		s[at+"slo"], s[at+"timeout"] = 0.5+rnd.Float64(), 3.0
+	}
+	w.d = New(seed, s, w)
+	list := make([]WorkerInfo, workers)
+	for i := range list {
+		list[i] = WorkerInfo{ID: WorkerID(1000 + i), Zone: ZoneID(i % 3), Cell: CellID(i % 2), State: Ready, Weight: 1, Start: math.Inf(-1)}
+	}
+	w.d.At(0)
+	w.d.Workers(ListComplete, 1, list)
+	w.d.Settle()
+	rate := float64(workers) * (1 + 8*rnd.Float64())
+	if fellows > 2 {
+		rate /= 20
+	}
+	models := 1 + rnd.IntN(3*workers)
+	id := InferenceID(0)
+	var arrive func()
+	arrive = func() {
+		id++
+		i := id
+		m := ModelID(float64(models) * math.Pow(rnd.Float64(), 2.5))
+		q := Inference{ID: i, Model: m, Group: GroupID(m % 3), Tenant: TenantID(rnd.IntN(3)), NotAfter: math.Inf(1), Repeat: rnd.IntN(9) == 0}
+		if rnd.IntN(2) == 0 {
+			q.NotAfter = w.now + 0.02 + 2*rnd.Float64()
+		}
+		if rnd.IntN(3) == 0 {
+			q.Load, q.Work = rnd.Float64(), 0.1*rnd.Float64()
+		}
+		w.d.Inference(q)
+		if rnd.IntN(25) == 0 {
+			w.after(0.3*rnd.Float64(), func() {
+				if !w.final[i] {
+					w.final[i] = true
+					w.d.Withdrawn(i)
+				}
+			})
+		}
+		w.after(rnd.ExpFloat64()/rate, arrive)
+	}
+	w.after(0, arrive)
+	var change func()
+	change = func() {
+		l := &list[rnd.IntN(workers)]
+		switch rnd.IntN(5) {
+		case 0:
+			l.State = Draining
+		case 1:
+			l.State = Gone
+		case 2:
+			l.Start, l.State = w.now, Ready
+		default:
+			l.State = Ready
+		}
+		w.d.Workers(ListChanges, 2, []WorkerInfo{*l})
+		w.after(rnd.ExpFloat64()*0.7, change)
+	}
+	w.after(1, change)
+	for len(w.due) > 0 && id < 1200 {
+		sort.SliceStable(w.due, func(i, j int) bool { return w.due[i].at < w.due[j].at })
+		e := w.due[0]
+		w.due = w.due[1:]
+		w.now = math.Max(w.now, e.at)
+		w.d.At(w.now)
+		e.f()
+		w.d.Settle()
+	}
+	return w.lines
+}
+
+// blockOf is how many actions one line of a kept trace stands for.
+const blockOf = 25
+
+// TestTraces compares what the dispatcher does in drawn worlds, action by action, with what it did when the traces were
+// kept. A change that only makes it quicker must not change one of them.
+func TestTraces(t *testing.T) {
+	for seed := range uint64(40) {
+		file := fmt.Sprintf("testdata/traces/%02d.txt", seed)
+		lines := world(seed)
+		var out strings.Builder
+		for i := 0; i < len(lines); i += blockOf {
+			h := fnv.New32a()
+			h.Write([]byte(strings.Join(lines[i:min(len(lines), i+blockOf)], "\n")))
+			fmt.Fprintf(&out, "%08x\n", h.Sum32())
+		}
+		if *update {
+			os.MkdirAll("testdata/traces", 0o755)
+			os.WriteFile(file, []byte(out.String()), 0o644)
+			continue
+		}
+		kept, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(kept) == out.String() {
+			continue
+		}
+		want, got := strings.Split(string(kept), "\n"), strings.Split(out.String(), "\n")
+		i := 0
+		for i < min(len(want), len(got)) && want[i] == got[i] {
+			i++
+		}
+		t.Errorf("seed %d: the first difference is among actions %d to %d of %d:\n%s", seed, i*blockOf+1, (i+1)*blockOf, len(lines),
+			strings.Join(lines[min(len(lines), i*blockOf):min(len(lines), (i+1)*blockOf)], "\n"))
+	}
+}
