Module: settings read once, open groups listed, no sorting of all workers

The cost of an inference grew with the number of workers: names of settings were looked up for each worker, every place of a model was walked to find its open groups, and all workers were sorted for their homes. Settings are read once, a model lists its places with members, only the few of highest rank are put in order, and a place is made only where a group opens.

--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 package control
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -52,7 +51,16 @@
 )
 
 func New(seed uint64, s Settings, a Actions) *Dispatcher {
-	d := &Dispatcher{set: s, act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
+	d := &Dispatcher{act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
+	d.told = told{tick: s.Num("tick", 0.001), askEvery: s.Num("rules.ask_every", 10),
+		fall:      s.Num("rules.fall", 1),
+		warmAfter: s.Num("rules.warm_after", 0), coldShare: s.Num("rules.cold_share", 1),
+		overload: s.Num("rules.overload_factor", 1), most: min(maxForwards, int(s.Num("limits.max_forwards", 1))),
+		second: s.Is("limits.second_copies"), cancel: s.Is("limits.cancel"), probes: s.Is("limits.probes"),
+		retryMost: s.Num("limits.max_retry_after", 0), keep: s.Num("models.keep", 0),
+		orders: s.Is("models.orders") && s.Text("models.on_miss") == "miss",
+		window: s.Num("models.load_window", 0), few: s.Num("models.load_few", 0),
+		share: s.Num("models.load_share", 0)}
 	d.known, d.hand.byID = map[WorkerID]*worker{}, map[InferenceID]int{}
 	d.further, d.furtherOK = furtherMost, 1
 	d.fellows, d.run = math.Max(1, s.Num("dispatchers", 1)), firstRun
@@ -80,7 +88,7 @@
 
 func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
 	if kind == ListFailed {
-		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.set.Num("rules.ask_every", 10))
+		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.told.askEvery)
 		return
 	} else if kind != ListCached {
 		d.askGap = askFirst
@@ -147,7 +155,7 @@
 		r.over = d.tenants[q.Tenant].beyond(d.now)
 	}
 	d.further = math.Min(furtherMost, d.further+furtherLeast+(furtherShare-furtherLeast)*d.furtherOK)
-	if span := d.set.Num("models.load_window", 0); span > 0 {
+	if span := d.told.window; span > 0 {
 		d.ration.count(d.now, span)
 		d.ration.taken[rationParts]++
 	}
@@ -159,14 +167,13 @@
 }
 
 // margin is how long before the client's time is up the final answer goes out.
-func (d *Dispatcher) margin() Seconds { return endMargin + 2*d.set.Num("tick", 0.001) }
+func (d *Dispatcher) margin() Seconds { return endMargin + 2*d.told.tick }
 
 // may tells whether the rules let this inference go to this worker now (rules 1 to 3 and the count of
 // forwards).
 func (d *Dispatcher) may(r *inference, w *worker) bool {
 	if w.State != Ready || d.now >= r.notAfter-d.margin() || r.stream ||
-		r.n >= min(maxForwards, int(d.set.Num("limits.max_forwards", 1))) ||
-		r.out > 0 && !d.set.Is("limits.second_copies") {
+		r.n >= d.told.most || r.out > 0 && !d.told.second {
 		return false
 	}
 	f, scope := r.mayHaveRun(), r.group.scope // the earliest one binds; the later ones kept to its scope
@@ -188,7 +195,7 @@
 
 // warmth is the share of its capacity a worker is sure to have since its start (rule 4).
 func (d *Dispatcher) warmth(w *worker) float64 {
-	span, low := d.set.Num("rules.warm_after", 0), d.set.Num("rules.cold_share", 1)
+	span, low := d.told.warmAfter, d.told.coldShare
 	if age := d.now - w.Start; age < span {
 		return low + (1-low)*math.Max(0, age)/span
 	}
@@ -198,10 +205,10 @@
 // open tells whether a worker takes a forward now: a cold one in turn (rule 4: turns by chance, at our share
 // of the budget), one set aside as a trickle; where most look bad the cause is shared, and none counts so.
 func (d *Dispatcher) open(r *inference, w *worker) bool {
-	if c, fall := d.warmth(w), d.set.Num("rules.fall", 1); c < 1 {
+	if c, fall := d.warmth(w), d.told.fall; c < 1 {
 		if d.now > w.coldAt+fall { // a turn not used in time lapses: all fellows' unused turns add up
 			seen := d.taken() / math.Max(1, float64(d.ready))
-			share := math.Max(1/(fall*d.fellows), coldSafety*d.set.Num("rules.overload_factor", 1)*c*seen)
+			share := math.Max(1/(fall*d.fellows), coldSafety*d.told.overload*c*seen)
 			w.coldAt = d.now + 2*d.rnd.share()/share
 		}
 		if d.now < w.coldAt {
@@ -254,7 +261,7 @@
 // probe asks some homes of the model, by chance, what they hold, where that is allowed, own traffic is too
 // thin to tell and no report is new; the inference is held for the answers, or a look or two.
 func (d *Dispatcher) probe(r *inference) bool {
-	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.set.Is("limits.probes") {
+	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.told.probes {
 		return false
 	}
 	n := min(len(d.top), max(r.model.homes, probeHomes))
@@ -286,8 +293,8 @@
 // requests there take less than a load would; of several, where they take least.
 func (d *Dispatcher) join(r *inference) *place {
 	var best *place
-	for _, pl := range r.model.places {
-		if pl == nil || pl.open+pl.waiting == 0 || pl.count >= groupLimit {
+	for _, pl := range r.model.groups() {
+		if pl.count >= groupLimit {
 			continue
 		}
 		w := pl.worker
@@ -303,24 +310,32 @@
 	return best
 }
 
-// room tells whether the worker is under its width. Inferences that can no longer be in time, or are
+// room tells whether the worker is under its width.
+func (d *Dispatcher) room(r *inference, w *worker) bool { return float64(w.out-w.cold) < d.width(r) }
+
+// width is how many own forwards a worker may have out. Inferences that can no longer be in time, or are
 // beyond their tenant's share, leave part of it to the others.
-func (d *Dispatcher) room(r *inference, w *worker) bool {
-	limit := math.Max(widthLeast, widthAll/d.fellows)
+func (d *Dispatcher) width(r *inference) float64 {
+	limit := max(widthLeast, widthAll/d.fellows)
 	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
 		limit *= staleShare
 	}
-	return float64(w.out-w.cold) < limit
+	return limit
 }
 
 // queue is the run time queued at a worker: ours, and for fellows' what it reports to hold where own traffic
 // is sparse, else for each as much as ours is there over time, since all share the same homes of models.
 func (d *Dispatcher) queue(w *worker) Seconds {
 	if d.sparse && len(d.counts) > 0 {
-		return math.Max(w.work, d.holds(w)*d.run/atOnce)
+		return max(w.work, d.holds(w)*d.run/atOnce)
+	}
+	if d.fellows > 1 && w.meanAt < d.now {
+		if d.easedFrom != w.meanAt || d.easedTo != d.now { // most were looked at together the last time too
+			d.easedFrom, d.easedTo, d.eased = w.meanAt, d.now, 1-math.Exp((w.meanAt-d.now)/meanSpan)
+		}
+		w.mean += (w.work - w.mean) * d.eased
+		w.meanAt = d.now
 	}
-	w.mean += (w.work - w.mean) * (1 - math.Exp((w.meanAt-d.now)/meanSpan))
-	w.meanAt = d.now
 	return w.work + (d.fellows-1)*w.mean
 }
 
@@ -331,10 +346,14 @@
 	return mean + (w.held-mean)*math.Exp((w.heldAt-d.now)/reportSpan)
 }
 
-// taken is how many inferences a second this dispatcher takes.
+// taken is how many inferences a second this dispatcher takes, worked out once for each moment.
 func (d *Dispatcher) taken() float64 {
-	span := homeSpan * (1 - math.Exp(-math.Max(1, d.now)/homeSpan))
-	return d.asked * math.Exp((d.askedAt-d.now)/homeSpan) / span
+	if d.rateAt != d.now || d.rateOf != d.asked {
+		span := homeSpan * (1 - math.Exp(-math.Max(1, d.now)/homeSpan))
+		d.rate = d.asked * math.Exp((d.askedAt-d.now)/homeSpan) / span
+		d.rateAt, d.rateOf = d.now, d.asked
+	}
+	return d.rate
 }
 
 // least returns the place with least queued work, load included where no warm copy is believed. Costs too
@@ -348,40 +367,46 @@
 		if !d.may(r, w) {
 			continue
 		}
-		late := d.now+d.queue(w)/atOnce+math.Min(m.run, r.group.slo)/2 > r.notAfter // the wait outlasts the client
+		queue := d.queue(w)
+		late := d.now+queue/atOnce+min(m.run, r.group.slo)/2 > r.notAfter // the wait outlasts the client
 		if open := d.open(r, w); !open || late {
 			resting, r.hopeless = resting || !open, r.hopeless || late
 			continue
 		}
-		w.cost = (d.queue(w) + m.run) / d.warmth(w)
+		w.cost = (queue + m.run) / d.warmth(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
-		w.cost += math.Max(w.bad, w.sides[r.side].bad) * (m.load + r.group.slo)
+		w.cost += max(w.bad, w.sides[r.side].bad) * (m.load + r.group.slo)
 		if r.tried(w) {
 			w.cost += aheadOff
 		}
 		w.rank = mix(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID))
 		d.top = append(d.top, w)
 	}
-	if d.sparse { // its homes, first in order first
-		slices.SortFunc(d.top, func(a, b *worker) int { return cmp.Compare(b.rank, a.rank) })
+	if d.sparse {
+		d.top = first(d.top, max(m.homes, probeHomes))
+	}
+	if d.looks++; m.homes > 1 {
+		for _, w := range d.top[:min(len(d.top), m.homes)] {
+			w.home = d.looks
+		}
 	}
 	for _, w := range d.workers {
-		if pl, c := m.at(w), w.cost; !math.IsInf(c, 1) {
-			home := slices.Contains(d.top[:min(len(d.top), m.homes)], w)
-			if w.hot = pl.warm >= d.now || home && m.homes > 1; !w.hot {
+		if w.cost <= math.MaxFloat64 {
+			pl := m.seen(w)
+			if w.hot = pl.warm >= d.now || w.home == d.looks; !w.hot {
 				// Loads run beside the work of warm copies: those pending hold up only another load.
 				w.cost += m.load + w.loads
 				if warmOnly || pl.noRoom > d.now || w.noLoad > d.now || d.now+w.loads > r.notAfter {
 					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
 				}
 			}
-			low = math.Min(low, w.cost)
+			low = min(low, w.cost)
 		}
 	}
 	var best *worker
-	var top uint64
+	top, band, width := uint64(0), low+tieBand*m.load, d.width(r)
 	for _, w := range d.workers {
-		if w.cost > low+tieBand*m.load || math.IsInf(low, 1) {
+		if w.cost > band || w.cost > math.MaxFloat64 {
 			continue
 		}
 		h := w.rank >> 2
@@ -391,7 +416,7 @@
 			}
 			h |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
 		}
-		if d.room(r, w) {
+		if float64(w.out-w.cold) < width {
 			h |= 1 << 62
 		}
 		if best == nil || h > top {
@@ -418,6 +443,7 @@
 	d.queue(w)
 	w.work, w.out = w.work+f.run, w.out+1
 	pl.open, pl.out = pl.open+1, pl.out+1
+	m.joined(pl)
 	d.spend(r, w)
 }
 
@@ -473,7 +499,7 @@
 		d.judge(&w.health, true)
 		d.judge(side, true)
 		if f.start == w.Start {
-			pl.warm = d.now + d.set.Num("models.keep", 0)
+			pl.warm = d.now + d.told.keep
 		}
 		d.settled(pl)
 		d.release(pl, true)
@@ -582,13 +608,13 @@
 
 // order wants a load order for a place: one for a worker and model at a time, within the ration.
 func (d *Dispatcher) order(pl *place) bool {
-	if pl.ordered || pl.wanted || !d.set.Is("models.orders") || d.set.Text("models.on_miss") != "miss" ||
+	if pl.ordered || pl.wanted || !d.told.orders ||
 		pl.noRoom > d.now || pl.worker.State != Ready {
 		return pl.ordered || pl.wanted
 	}
-	if span := d.set.Num("models.load_window", 0); span > 0 { // rule 5
+	if span := d.told.window; span > 0 { // rule 5
 		sent, taken := d.ration.count(d.now, span)
-		if sent+1 > d.set.Num("models.load_few", 0)+d.set.Num("models.load_share", 0)*taken {
+		if sent+1 > d.told.few+d.told.share*taken {
 			return false
 		}
 		d.ration.sent[rationParts]++
@@ -606,7 +632,7 @@
 	pl := m.at(w)
 	pl.ordered = false
 	stands := o.Result == Returned && o.Copies > 0
-	if pl.warm = d.now + d.set.Num("models.keep", 0); stands {
+	if pl.warm = d.now + d.told.keep; stands {
 		d.loaded(m, o.Took)
 	} else {
 		pl.warm, pl.noRoom = math.Inf(-1), d.now+roomPause
@@ -663,7 +689,7 @@
 	if f.hedged = true; !lost {
 		d.judge(d.blame(f.to, r.side, f.sent), false)
 	}
-	if d.set.Is("limits.second_copies") {
+	if d.told.second {
 		d.again(r)
 	}
 }
@@ -691,7 +717,7 @@
 			d.act.Forward(r.id, r.forwards[r.n-1].to.ID, 0)
 			r.want = wantOut
 		case wantShed:
-			d.act.Shed(r.id, math.Min(r.model.load, d.set.Num("limits.max_retry_after", 0)))
+			d.act.Shed(r.id, math.Min(r.model.load, d.told.retryMost))
 			r.want = wantDone
 		case wantFail:
 			d.act.Fail(r.id)
@@ -701,7 +727,7 @@
 			continue
 		}
 		for i := range r.forwards[:r.n] {
-			if f := &r.forwards[i]; f.fate == fateOut && d.set.Is("limits.cancel") && !r.stream {
+			if f := &r.forwards[i]; f.fate == fateOut && d.told.cancel && !r.stream {
 				d.act.Cancel(r.id, i)
 			}
 		}
--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -7,11 +7,14 @@
 
 // answering swallows actions but those that are to be answered.
 type answering struct {
+	now  Seconds
 	sent []Outcome
+	at   []Seconds
 	n    int
 }
 
 func (q *answering) Forward(i InferenceID, w WorkerID, _ Seconds) {
+	q.at = append(q.at, q.now+0.05)
 	q.sent = append(q.sent, Outcome{ID: i, Worker: w, Took: 0.05, Found: FoundWarm, Crowd: -1, Final: true})
 }
 func (q *answering) Shed(InferenceID, Seconds)    { q.n++ }
@@ -29,38 +32,47 @@
 
 // BenchmarkInference is one inference from arrival to its answer, without trouble, by number of workers.
 func BenchmarkInference(b *testing.B) {
-	for _, n := range []int{16, 90, 1000} {
-		b.Run(fmt.Sprint(n, " workers"), func(b *testing.B) {
+	for _, c := range []struct{ n, fellows int }{{16, 1}, {90, 1}, {1000, 1}, {16, 2}, {90, 2}, {1000, 2}, {90, 300}, {1000, 300}} {
+		n := c.n
+		share := 1.0 // of the load that this dispatcher takes
+		if c.fellows > 2 {
+			share = 0.01
+		}
+		b.Run(fmt.Sprintf("%d workers, %d dispatchers", n, c.fellows), func(b *testing.B) {
 			a := &answering{}
-			d := New(1, Settings{"limits.max_forwards": 3.0, "limits.second_copies": true, "models.keep": 8.0, "groups": 1.0, "groups.0.effect": "retriable",
+			d := New(1, Settings{"limits.max_forwards": 3.0, "limits.second_copies": true, "models.keep": 8.0, "groups": 1.0, "dispatchers": float64(c.fellows), "groups.0.effect": "retriable",
 				"groups.0.slo": 1.0, "groups.0.timeout": 5.0, "rules.warm_after": 10.0, "rules.cold_share": 0.2, "tick": 0.001,
 				"load_report.fields": 1.0, "load_report.fields.0": "inflight"}, a)
 			var list []WorkerInfo
 			for i := range n {
 				list = append(list, WorkerInfo{ID: WorkerID(i + 1), State: Ready, Weight: 1, Start: -1e6})
 			}
-			now, id := 0.0, InferenceID(0)
+			now, id, first := 0.0, InferenceID(0), 0
 			d.At(0)
 			d.Workers(ListComplete, 1, list)
 			d.Settle()
 			one := func() {
 				id++
-				now += 0.05 / (2 * float64(n)) // two in hand at each worker
+				now += 0.05 / (2 * float64(n)) / share // two in hand at each worker, of all dispatchers
+				a.now = now
 				d.At(now)
 				d.Inference(Inference{ID: id, Model: ModelID(id % InferenceID(2*n)), NotAfter: now + 5})
 				d.Settle()
-				if len(a.sent) > 2*n {
-					o := a.sent[0]
-					a.sent = a.sent[:copy(a.sent, a.sent[1:])]
-					d.Outcome(o)
+				for first < len(a.at) && a.at[first] <= now {
+					d.Outcome(a.sent[first])
 					d.Settle()
+					first++
+				}
+				if first > 4*n { // what has been answered makes room
+					a.sent, a.at = a.sent[:copy(a.sent, a.sent[first:])], a.at[:copy(a.at, a.at[first:])]
+					first = 0
 				}
 				if id%64 == 0 {
 					d.Timer(0)
 					d.Settle()
 				}
 			}
-			for range 40 * n {
+			for range 20 * n {
 				one()
 			}
 			b.ReportAllocs()
--- a/control/state.go
+++ b/control/state.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"math"
+	"slices"
 )
 
 // maxForwards is how many forwards one record can hold.
@@ -112,6 +114,7 @@
 	cold    bool    // the group's first answer is still out
 	ordered bool    // a load order is out
 	wanted  bool    // a load order is wanted
+	listed  bool    // it stands among its model's open ones
 	since   Seconds // when the order went out, or the cold group opened
 	load    Seconds // what the ledger counts for its cold group
 	noRoom  Seconds // no copy can be had there until then
@@ -146,6 +149,7 @@
 	cost   Seconds // what the inference in hand would wait there
 	rank   uint64  // its place in the order of homes of the model in hand
 	hot    bool    // a copy of the model in hand is taken to stand there
+	home   uint64  // the look for a place at which it was one of the homes
 	held   float64 // inferences it reported to hold, smoothed
 	heldAt Seconds
 }
@@ -159,7 +163,8 @@
 	heard  bool    // load time learned from an answer
 	timed  bool    // run time learned from an answer
 	places []*place
-	held   int // inferences held here for a worker to have room
+	open   []*place // those with members, in order of workers; some may have none by now
+	held   int      // inferences held here for a worker to have room
 
 	asked, askedAt float64 // inferences taken of late, and as of when
 	homes          int     // workers it should live on
@@ -196,6 +201,60 @@
 	return m.places[w.index]
 }
 
+// nowhere stands for a place of which nothing is known.
+var nowhere = place{warm: math.Inf(-1)}
+
+// seen returns the place of a model on a worker, to be read only: nowhere if there is none.
+func (m *model) seen(w *worker) *place {
+	if w.index < len(m.places) && m.places[w.index] != nil {
+		return m.places[w.index]
+	}
+	return &nowhere
+}
+
+// joined notes that a place has members.
+func (m *model) joined(pl *place) {
+	if !pl.listed {
+		pl.listed = true
+		i, _ := slices.BinarySearchFunc(m.open, pl, func(a, b *place) int { return cmp.Compare(a.worker.index, b.worker.index) })
+		m.open = slices.Insert(m.open, i, pl)
+	}
+}
+
+// groups returns the places with members, in order of workers: few, however many workers there are.
+func (m *model) groups() []*place {
+	n := 0
+	for _, pl := range m.open {
+		if pl.listed = pl.open+pl.waiting > 0; pl.listed {
+			m.open[n] = pl
+			n++
+		}
+	}
+	clear(m.open[n:])
+	m.open = m.open[:n]
+	return m.open
+}
+
+// first returns the n workers of highest rank, and maybe some more, first in order first. Ranks are hashes: of many,
+// only those above where about twice as many are to be expected are put in order.
+func first(list []*worker, n int) []*worker {
+	if much := 2*n + 16; len(list) > 2*much {
+		above := ^uint64(0) / uint64(len(list)) * uint64(len(list)-much)
+		k := 0
+		for i, w := range list {
+			if w.rank >= above {
+				list[i], list[k] = list[k], w
+				k++
+			}
+		}
+		if k >= n {
+			list = list[:k]
+		}
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(b.rank, a.rank) })
+	return list
+}
+
 // tried tells whether a forward of this inference went to the worker and did not just miss there.
 func (r *inference) tried(w *worker) bool {
 	for i := range r.forwards[:r.n] {
@@ -244,9 +303,17 @@
 	r.want = wantOut
 }
 
+// told is what the settings say, read once: looking names up costs more than deciding.
+type told struct {
+	tick, askEvery, fall, warmAfter, keep, window, retryMost Seconds
+	coldShare, overload, few, share                          float64
+	most                                                     int
+	second, cancel, probes, orders                           bool
+}
+
 // Dispatcher is the state of one dispatcher.
 type Dispatcher struct {
-	set     Settings
+	told    told
 	act     Actions
 	rnd     random
 	now     Seconds
@@ -263,9 +330,14 @@
 	changed bool      // something was heard since those held for room were tried
 	retried Seconds   // when they were
 	top     []*worker // homes of the model in hand, first in order first
+	looks   uint64    // looks for a place so far
 	probes  []*worker // wanted probes
 	counts  []int     // which values of a report tell inferences held
 
+	easedFrom, easedTo, eased float64 // how far means are eased from one time to another
+
+	rate, rateAt, rateOf float64 // inferences taken a second, as of when and for which count
+
 	run            Seconds // smoothed warm answer time of all
 	asked, askedAt float64 // inferences taken of late, and as of when
 
@@ -340,6 +412,7 @@
 	r.want, r.waits = wantHold, pl
 	if pl != nil {
 		pl.waiting++
+		pl.model.joined(pl)
 	} else {
 		r.model.held++
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -91,12 +92,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, part := range strings.Split(string(src), "d.set.")[1:] {
-		if _, rest, ok := strings.Cut(part, `("`); ok {
-			name, _, _ := strings.Cut(rest, `"`)
-			if _, ok := s[name]; !ok {
-				t.Errorf("control reads %q, which no setting gives", name)
-			}
+	names := regexp.MustCompile(`s\.(?:Num|Text|Is)\("([^"]+)"`).FindAllStringSubmatch(string(src), -1)
+	if len(names) < 15 {
+		t.Fatalf("control reads %d names", len(names))
+	}
+	for _, n := range names {
+		if _, ok := s[n[1]]; !ok && !strings.HasSuffix(n[1], ".") {
+			t.Errorf("control reads %q, which no setting gives", n[1])
 		}
 	}
 }
