Module: models, gone workers and the slab after a burst are forgotten

Months in service made every look dearer: models and workers seen once were kept for ever, gone ones stood in every scan, and the slab kept its peak. A test replaces 6,000 workers, asks 100,000 names and holds a burst of 20,000.

--- a/control/control.go
+++ b/control/control.go
@@ -47,6 +47,9 @@
 	homeSpan     = 20.0 // s over which inferences taken are counted: popularity lasts about as long
 	homeShare    = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
 	homeLeast    = 30.0 // inferences in that span under which shares tell little
+	goneLong     = 300  // s after which a gone worker is forgotten: a restart under its name is back by then
+	modelsMost   = 2e4  // models kept: beyond them the half asked for longest ago is forgotten
+	slabLeast    = 1024 // places of the slab that are always kept: a look at them costs little
 	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
 )
 
@@ -101,8 +104,8 @@
 	for _, l := range list {
 		w := d.known[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: len(d.workers), coldAt: math.Inf(-1), heldAt: math.Inf(-1),
-				sides: make([]health, len(d.groups)*max(1, len(d.tenants)))}
+			w = &worker{WorkerInfo: l, index: d.index(), coldAt: math.Inf(-1), heldAt: math.Inf(-1),
+				goneAt: math.Inf(1), sides: make([]health, len(d.groups)*max(1, len(d.tenants)))}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -110,6 +113,7 @@
 		}
 		w.WorkerInfo = l
 	}
+	d.forgetWorkers(goneLong)
 	d.countReady()
 	d.changed = true
 	d.look()
@@ -132,6 +136,7 @@
 	r.group = d.groups[min(int(q.Group), len(d.groups)-1)]
 	m := d.models[q.Model]
 	if m == nil {
+		d.forgetModels(modelsMost)
 		m = &model{id: q.Model, group: r.group, run: r.group.run, load: r.group.load}
 		d.models[q.Model] = m
 	}
--- /dev/null
+++ b/control/forget_test.go
@@ -0,0 +1,79 @@
+package control
+
+import "testing"
+
+// Months in service: names of models, workers replaced and bursts must not stay for ever.
+func TestWhatWasSeenOnceIsForgotten(t *testing.T) {
+	a := &answering{}
+	d := New(1, Settings{"limits.max_forwards": 3.0, "models.keep": 8.0, "groups": 1.0, "groups.0.effect": "retriable", "groups.0.slo": 1.0,
+		"groups.0.timeout": 5.0, "tick": 0.001}, a)
+	now, id := 0.0, InferenceID(0)
+	at := func(s Seconds, f func()) { now += s; a.now = now; d.At(now); f(); d.Settle() }
+	list := func(day, n int) (l []WorkerInfo) {
+		for i := range n {
+			l = append(l, WorkerInfo{ID: WorkerID(day*10000 + i), State: Ready, Weight: 1, Start: -1e6})
+		}
+		return l
+	}
+	ask := func(m ModelID) {
+		id++
+		at(1e-4, func() { d.Inference(Inference{ID: id, Model: m, NotAfter: now + 60}) })
+	}
+	answer := func() {
+		for _, o := range a.sent {
+			at(1e-4, func() { d.Outcome(o) })
+		}
+		a.sent, a.at = nil, nil
+	}
+	for day := range 30 { // all workers replaced each day
+		at(86400, func() { d.Workers(ListComplete, uint32(day), list(day, 200)) })
+		for m := range 300 {
+			ask(ModelID(m))
+		}
+		answer()
+		at(0.01, func() { d.Timer(0) })
+	}
+	if len(d.workers) > 400 || len(d.known) != len(d.workers) || d.indexes > 600 { // two days in the list, and the next as it comes
+		t.Errorf("%d workers, %d known, %d indexes after 6,000 replaced", len(d.workers), len(d.known), d.indexes)
+	}
+	for _, m := range d.models {
+		if len(m.places) > 600 {
+			t.Fatalf("%d places", len(m.places))
+		}
+		for _, pl := range m.places {
+			if pl != nil && d.known[pl.worker.ID] != pl.worker {
+				t.Fatal("a place at a worker that is forgotten")
+			}
+		}
+	}
+	for m := range 100_000 { // names, each asked for once
+		ask(ModelID(1000 + m))
+		if m%100 == 0 {
+			answer()
+			at(0.01, func() { d.Timer(0) })
+		}
+	}
+	answer()
+	if len(d.models) > modelsMost+1 {
+		t.Errorf("%d models are kept", len(d.models))
+	}
+	before := a.n
+	for range 20_000 { // a burst, held while nothing is answered
+		ask(5)
+	}
+	if len(d.hand.all) < 20_000 {
+		t.Fatalf("%d in hand", len(d.hand.all))
+	}
+	for len(d.hand.byID) > 0 && now < 1e9 {
+		answer()
+		at(0.01, func() { d.Timer(0) })
+	}
+	at(0.01, func() { d.Timer(0) })
+	if len(d.hand.all) > slabLeast || a.n != before {
+		t.Errorf("%d places of the slab after the burst; %d shed", len(d.hand.all), a.n-before)
+	}
+	ask(5) // and it goes on
+	if len(a.sent) != 1 {
+		t.Error("no forward after all that")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -137,9 +137,10 @@
 	WorkerInfo
 	health
 	sides  []health // by model group and tenant
-	index  int
-	work   Seconds // run time of own forwards there
-	mean   Seconds // work, smoothed over time
+	index  int      // in the models' lists of places
+	goneAt Seconds  // since when it is listed as gone, +Inf where it is not
+	work   Seconds  // run time of own forwards there
+	mean   Seconds  // work, smoothed over time
 	meanAt Seconds
 	loads  Seconds // load times of own cold groups there
 	out    int
@@ -318,6 +319,8 @@
 	rnd     random
 	now     Seconds
 	workers []*worker
+	indexes int   // given to workers so far
+	free    []int // of those, the ones whose worker is forgotten
 	known   map[WorkerID]*worker
 	models  map[ModelID]*model
 	groups  []*modelGroup
@@ -475,5 +478,6 @@
 
 func (d *Dispatcher) Timer(TimerID) {
 	d.waked = false
+	d.hand.shrink(slabLeast)
 	d.look()
 }
