Admin answers the state that holds; a dispatcher that does not come up is ended

POST /workers echoed the state asked for, though a stricter word of another source may hold; it tells the one in force now.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -133,8 +133,15 @@
 	type result struct {
 		err     error
 		version uint32
+		state   string
 	}
-	v, err := ask(r.Context(), a, func() result { err := a.g.Rule(e); return result{err, a.g.Roster.Version} })
+	v, err := ask(r.Context(), a, func() (v result) {
+		if v.err = a.g.Rule(e); v.err == nil {
+			v.state = a.g.Roster.Named(e.Name).StateName() // a stricter word of another source holds
+		}
+		v.version = a.g.Roster.Version
+		return v
+	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -144,5 +151,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(map[string]any{"name": in.Name, "state": in.State, "version": v.version})
+	json.NewEncoder(w).Encode(map[string]any{"name": in.Name, "state": v.state, "version": v.version})
 }
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -224,6 +224,13 @@
 	if got := p.states(); got != "w1 gone, w2 draining" {
 		t.Errorf("%s", got)
 	}
+	resp, err = http.Post("http://"+p.admin+"/workers", "application/json", strings.NewReader(`{"name":"w2","state":"gone"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := io.ReadAll(resp.Body); !strings.Contains(string(b), `"state":"gone"`) {
+		t.Errorf("%s", b)
+	}
 	if resp, _ = http.Get("http://" + p.admin + "/v2/health/ready"); resp.StatusCode != 503 {
 		t.Errorf("ready without a ready worker: %d", resp.StatusCode)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -533,7 +533,7 @@
 			w.pool = h1.NewPool(g.Loop, r.Addr, h1.PoolOptions{Conns: l.WorkerConnections, Idle: l.WorkerIdle,
 				IdleTimeout: l.WorkerIdleTimeout.Seconds, ConnectTimeout: l.ConnectTimeout.Seconds})
 		}
-		g.log.Info().Str("worker", r.Name).Str("address", r.Addr.String()).Str("state", stateName(r.State)).
+		g.log.Info().Str("worker", r.Name).Str("address", r.Addr.String()).Str("state", r.StateName()).
 			Uint32("version", r.Version).Stringer("from", r.From).Msg("worker listed")
 		if r.State != control.Ready {
 			w.pool.Abandon() // what waits for a connection there must not be sent now
@@ -583,7 +583,3 @@
 		g.guard(func() { g.module.Workers(kind, g.Roster.Version, lines) })
 	}
 }
-
-func stateName(s control.WorkerState) string {
-	return [...]string{"gone", "ready", "draining"}[s]
-}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		v := views[r.ID]
-		ws := WorkerStatus{Name: r.Name, Address: r.Addr.String(), State: stateName(r.State), From: r.From.String(), Version: r.Version,
+		ws := WorkerStatus{Name: r.Name, Address: r.Addr.String(), State: r.StateName(), From: r.From.String(), Version: r.Version,
 			Heard: r.Heard, Told: w.told, Connections: w.pool.Conns(), Queued: w.pool.Queued(), Out: v.Out, Work: v.Work, Bad: v.Bad,
 			Aside: v.Aside, Report: v.Report, Warm: []string{}}
 		if r.Epoch > 0 {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -228,10 +228,10 @@
 			d.cfg.Workers = append(d.cfg.Workers, config.Worker{Name: w.Name, Address: w.Address, Zone: ws.Zone, Cell: ws.Cell, Weight: 1})
 		}
 		d.file = r.path(d.name + ".yaml")
+		r.disp = append(r.disp, d) // so that it is ended even if it does not come up
 		if err := r.startDispatcher(d); err != nil {
 			return err
 		}
-		r.disp = append(r.disp, d)
 	}
 	return nil
 }
@@ -432,7 +432,9 @@
 			d.proc.cmd.Process.Kill()
 			<-d.proc.done
 		}
-		d.log.Close()
+		if d.log != nil {
+			d.log.Close()
+		}
 	}
 	if r.fleet != nil {
 		r.fleet.cmd.Process.Kill()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -227,3 +227,6 @@
 
 // Line is what the decisions are told of a worker.
 func (w *Worker) Line() control.WorkerInfo { return w.current }
+
+// StateName is the state as operators read and write it.
+func (w *Worker) StateName() string { return [...]string{"gone", "ready", "draining"}[w.State] }
