Kept traces in blocks of 200 actions: an eighth of the lines

Every action still counts in its block's hash; a difference is shown with its block. The module is the one the traces were kept from.

--- a/control/trace_test.go
+++ b/control/trace_test.go
@@ -179,7 +179,7 @@
 }
 
 // blockOf is how many actions one line of a kept trace stands for.
-const blockOf = 25
+const blockOf = 200
 
 // TestTraces compares what the dispatcher does in drawn worlds, action by action, with what it did when the traces were
 // kept. A change that only makes it quicker must not change one of them.
