--- a/control/forget.go
+++ b/control/forget.go
@@ -54,7 +54,7 @@
 
 // forgetModels drops, once there are more than most, the half that was asked for longest ago, but for those in use.
 func (d *Dispatcher) forgetModels(most int) {
-	if len(d.models) <= most {
+	if len(d.models) <= max(most, d.modelsNext) {
 		return
 	}
 	inHand := map[*model]bool{}
@@ -75,6 +75,7 @@
 			delete(d.models, id)
 		}
 	}
+	d.modelsNext = len(d.models) + most/2 // where most are in use, not at each new one
 }
 
 // shrink lets the slab go back after a burst, once three quarters of more than least places are free. Those in hand
--- a/control/state.go
+++ b/control/state.go
@@ -314,28 +314,29 @@
 
 // Dispatcher is the state of one dispatcher.
 type Dispatcher struct {
-	told    told
-	act     Actions
-	rnd     random
-	now     Seconds
-	workers []*worker
-	indexes int   // given to workers so far
-	free    []int // of those, the ones whose worker is forgotten
-	known   map[WorkerID]*worker
-	models  map[ModelID]*model
-	groups  []*modelGroup
-	tenants []*tenant
-	hand    slab
-	dirty   []*inference
-	orders  []*place // wanted load orders
-	waked   bool
-	sparse  bool      // own traffic is too thin for own ledgers to tell of the workers
-	changed bool      // something was heard since those held for room were tried
-	retried Seconds   // when they were
-	top     []*worker // homes of the model in hand, first in order first
-	looks   uint64    // looks for a place so far
-	probes  []*worker // wanted probes
-	counts  []int     // which values of a report tell inferences held
+	told       told
+	act        Actions
+	rnd        random
+	now        Seconds
+	workers    []*worker
+	modelsNext int   // no look for models to forget before there are so many
+	indexes    int   // given to workers so far
+	free       []int // of those, the ones whose worker is forgotten
+	known      map[WorkerID]*worker
+	models     map[ModelID]*model
+	groups     []*modelGroup
+	tenants    []*tenant
+	hand       slab
+	dirty      []*inference
+	orders     []*place // wanted load orders
+	waked      bool
+	sparse     bool      // own traffic is too thin for own ledgers to tell of the workers
+	changed    bool      // something was heard since those held for room were tried
+	retried    Seconds   // when they were
+	top        []*worker // homes of the model in hand, first in order first
+	looks      uint64    // looks for a place so far
+	probes     []*worker // wanted probes
+	counts     []int     // which values of a report tell inferences held
 
 	easedFrom, easedTo, eased float64 // how far means are eased from one time to another
 
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -281,23 +281,21 @@
 // Spec is the fleet of the day for the stand-ins.
 func (d *Day) Spec() standin.Spec {
 	r, f := d.Settings.Rules, d.Fleet
-	window, scope := 0.0, "all"
 	groups := map[string]config.Group{}
 	for _, g := range d.Settings.Groups {
-		if groups[g.Name] = g; g.Effect == "deduped" {
-			window, scope = math.Max(window, g.Window.Seconds), g.Scope
-		}
+		groups[g.Name] = g
 	}
 	s := standin.Spec{Seed: d.Seed, Store: standin.StoreSpec{Slots: f.StoreSlots, Limit: f.StoreLimit}}
 	for i, n := range d.workerNames() {
 		s.Workers = append(s.Workers, standin.WorkerSpec{Name: n, Zone: fmt.Sprintf("z%d", i%f.Zones+1), Cores: f.Cores, Speed: f.Speed,
 			MemoryMB: f.Memory.MB(), Queue: f.Queue, Loads: f.Loads, OnMiss: d.Settings.Loads.OnMiss, Keep: f.Keep.Seconds, Disk: f.Disk,
 			StopsCancelled: f.StopsCancelled, ColdShare: r.ColdShare, WarmAfter: r.WarmAfter.Seconds, Overload: r.OverloadFactor,
-			Fall: r.Fall.Seconds, DedupWindow: window, DedupScope: scope})
+			Fall: r.Fall.Seconds})
 	}
 	for _, m := range d.Models {
 		s.Models = append(s.Models, standin.ModelSpec{Name: m.Name + "-*", Group: m.Group, MemoryMB: m.Memory.MB(), Lanes: m.Lanes,
 			Work: m.Work.Seconds, Fetch: m.Fetch.Seconds, Boot: m.Boot.Seconds, Deduped: groups[m.Group].Effect == "deduped",
+			Window: groups[m.Group].Window.Seconds, Scope: groups[m.Group].Scope,
 			AnswerBytes: int(m.Answer.Bytes)})
 	}
 	return s
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -173,9 +173,6 @@
 			defer ln.Close()
 			go h.serve(ln)
 			e := &Evidence{Settings: &day.Settings, Zones: map[string]string{}, Cells: map[string]string{}}
-			if cold {
-				e.Records = append(e.Records, standin.Record{T: unix(time.Now()), Worker: "w1", Event: "start"})
-			}
 			if c.wrong == "works after a drain" {
 				time.AfterFunc(500*time.Millisecond, func() { // heard, and not heeded
 					l.Post(func() { e.Words = append(e.Words, Word{"d0", "w1", "draining", unix(time.Now())}) })
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"path"
@@ -45,6 +46,8 @@
 	Work        float64 // s of a core, mean
 	Fetch, Boot float64 // s of a load: from the store, and on the worker
 	Deduped     bool
+	Window      float64 // s for which repeats of a mark are dropped; 0: the worker's
+	Scope       string  // among which workers; empty: the worker's
 	AnswerBytes int
 }
 
@@ -328,7 +331,7 @@
 		r.Cut = true
 	}
 	if r.Key != "" && spec.Deduped {
-		if m := f.marks[w.scope(r.Key)]; m != nil && f.now <= m.until {
+		if m := f.marks[w.scope(spec, r.Key)]; m != nil && f.now <= m.until {
 			r.Repeat = true
 			f.log(w, "repeat", r)
 			r.Found, r.Verdict, r.EndAt = "warm", Served, f.now
@@ -362,8 +365,8 @@
 }
 
 // scope is a mark within the workers that drop its repeats.
-func (w *worker) scope(key string) string {
-	switch w.DedupScope {
+func (w *worker) scope(m *ModelSpec, key string) string {
+	switch cmp.Or(m.Scope, w.DedupScope) {
 	case "zone":
 		return w.Zone + "/" + key
 	case "cell":
@@ -490,7 +493,7 @@
 			continue
 		}
 		if r.Key != "" && c.spec.Deduped { // another may have come in while this one waited
-			k := w.scope(r.Key)
+			k := w.scope(c.spec, r.Key)
 			if m := f.marks[k]; m != nil && f.now <= m.until {
 				w.held--
 				r.Repeat, r.st, r.Verdict, r.EndAt, r.Found = true, ended, Served, f.now, r.found
@@ -498,7 +501,7 @@
 				f.done = append(f.done, r)
 				continue
 			}
-			f.marks[k] = &mark{first: r, until: f.now + w.DedupWindow}
+			f.marks[k] = &mark{first: r, until: f.now + cmp.Or(c.spec.Window, w.DedupWindow)}
 		}
 		c.busy++
 		r.st, r.RanAt = runs, f.now
--- a/internal/standin/model_test.go
+++ b/internal/standin/model_test.go
@@ -95,6 +95,29 @@
 	}
 }
 
+// Two model groups on the same workers each have their own scope and window.
+func TestScopeAndWindowAreTheModelGroups(t *testing.T) {
+	s := spec(2)
+	s.Workers[1].Zone = "z"
+	s.Models = []ModelSpec{{Name: "all", MemoryMB: 1, Lanes: 1, Work: 0.01, Deduped: true, Scope: "all", Window: 9},
+		{Name: "zone", MemoryMB: 1, Lanes: 1, Work: 0.01, Deduped: true, Scope: "zone", Window: 9}}
+	f := NewFleet(s, false)
+	ran := map[string]int{}
+	f.Log = func(_ float64, _, event string, r *Req) {
+		if event == "ran" {
+			ran[r.Model]++
+		}
+	}
+	for i, at := range []float64{0, 4} {
+		f.Arrive(at, i, &Req{Model: "all", Key: "1"})
+		f.Arrive(at, i, &Req{Model: "zone", Key: "2"})
+		f.Advance(at + 3)
+	}
+	if ran["all"] != 1 || ran["zone"] != 2 {
+		t.Errorf("%v", ran)
+	}
+}
+
 func TestColdWorkerFallsOver(t *testing.T) {
 	for _, c := range []struct {
 		gap  float64
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -71,6 +71,11 @@
 	s.fleet.Vanished = func(i int) { l.Later(func() { s.ports[i].srv.Close() }) }
 	s.fleet.Returned = func(i int) { l.Later(func() { s.ports[i].listen() }) }
 	s.timer.Fire = s.tick
+	if cold {
+		for _, w := range s.fleet.workers {
+			s.log(0, w.Name, "start", nil)
+		}
+	}
 	for i, a := range at {
 		p := &port{s: s, i: i, addr: a}
 		if err := p.listen(); err != nil {
--- a/internal/standin/time.go
+++ b/internal/standin/time.go
@@ -110,10 +110,11 @@
 			if r := w.running[k]; r.left <= eps {
 				f.stop(r)
 				k--
-				r.Verdict, r.Found = Served, r.found
-				f.log(w, "served", r)
-				if r.Fault {
+				if r.Verdict, r.Found = Served, r.found; r.Fault { // it ran, and nobody hears of it
 					r.Verdict = Silent
+					f.log(w, "silent", r)
+				} else {
+					f.log(w, "served", r)
 				}
 				f.done = append(f.done, r)
 				f.dispatch(w, r.m)
