Stand-in fleet: each worker moves through time on its own

Every event walked all workers and all their models, so a fleet of 1,000 workers could not be played. Now each worker keeps the time it stands at and when something next happens to it, in a heap; only a change of the store's pace touches those that fetch. Models a worker holds nothing of leave its walk.

--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -114,27 +114,28 @@
 	began         *Req
 	orders        []*Req
 	want          int
-	image, queued bool
+	image, listed bool
 }
 
 type worker struct {
 	WorkerSpec
-	i        int
-	up       bool
-	fell     bool
-	start    float64
-	models   map[string]*copies
-	order    []*copies // for a fixed order
-	running  []*Req
-	memory   float64
-	held     int
-	sent     []sent // work sent while cold
-	faults   map[string]Fault
-	backAt   float64
-	nextIdle float64
-	inflight float64 // as reported
-	queue    float64
-	reported float64
+	i           int
+	up          bool
+	fell        bool
+	start       float64
+	models      map[string]*copies
+	order       []*copies // for a fixed order
+	running     []*Req
+	memory      float64
+	held        int
+	sent        []sent // work sent while cold
+	faults      map[string]Fault
+	backAt      float64
+	stood, next float64 // where it stands, and when something next happens to it
+	slot        int     // in the agenda
+	inflight    float64 // as reported
+	queue       float64
+	reported    float64
 }
 
 type sent struct{ at, work float64 }
@@ -171,20 +172,26 @@
 
 // Fleet is the model. Its methods take the time, in seconds, which never goes back.
 type Fleet struct {
-	Log      func(now float64, worker, event string, r *Req) // may be nil
-	Vanished func(worker int)                                // connections are to be reset; may be nil
-	Returned func(worker int)                                // it is up again; may be nil
-	spec     Spec
-	now      float64
-	rnd      *rand.Rand
-	workers  []*worker
-	byName   map[string]*worker
-	marks    map[string]*mark
-	fetches  int
-	Fetched  int // fetches from the store in all
-	Refused  int // fetches it turned away
-	done     []*Req
-	faults   []Fault
+	Log       func(now float64, worker, event string, r *Req) // may be nil
+	Vanished  func(worker int)                                // connections are to be reset; may be nil
+	Returned  func(worker int)                                // it is up again; may be nil
+	spec      Spec
+	now       float64
+	rnd       *rand.Rand
+	workers   []*worker
+	byName    map[string]*worker
+	marks     map[string]*mark
+	fetches   int
+	Fetched   int // fetches from the store in all
+	Refused   int // fetches it turned away
+	done      []*Req
+	faults    []Fault
+	agenda    agenda
+	specs     map[string]*ModelSpec // by model name
+	slow      float64               // of a fetch, now
+	stale     bool                  // that has to be worked out anew
+	storeNext float64
+	swept     float64
 }
 
 type mark struct {
@@ -195,14 +202,17 @@
 
 // NewFleet makes a fleet. All workers are up and warm, and empty, unless cold.
 func NewFleet(s Spec, cold bool) *Fleet {
-	f := &Fleet{spec: s, rnd: rand.New(rand.NewPCG(s.Seed, 1)), byName: map[string]*worker{}, marks: map[string]*mark{}}
+	f := &Fleet{spec: s, rnd: rand.New(rand.NewPCG(s.Seed, 1)), byName: map[string]*worker{}, marks: map[string]*mark{},
+		specs: map[string]*ModelSpec{}, slow: 1, storeNext: math.Inf(1)}
 	for i, ws := range s.Workers {
-		w := &worker{WorkerSpec: ws, i: i, up: true, models: map[string]*copies{}, faults: map[string]Fault{}, backAt: math.Inf(1)}
+		w := &worker{WorkerSpec: ws, i: i, up: true, models: map[string]*copies{}, faults: map[string]Fault{},
+			backAt: math.Inf(1), next: math.Inf(1)}
 		if !cold {
 			w.start = -1e6
 		}
 		f.workers = append(f.workers, w)
 		f.byName[ws.Name] = w
+		f.agenda.Push(w)
 	}
 	return f
 }
@@ -238,9 +248,13 @@
 }
 
 func (f *Fleet) model(name string) *ModelSpec {
+	if m := f.specs[name]; m != nil {
+		return m
+	}
 	for i := range f.spec.Models {
 		if ok, _ := path.Match(f.spec.Models[i].Name, name); ok {
-			return &f.spec.Models[i]
+			f.specs[name] = &f.spec.Models[i]
+			return f.specs[name]
 		}
 	}
 	return nil
@@ -251,6 +265,9 @@
 	if c == nil {
 		c = &copies{spec: spec, name: name}
 		w.models[name] = c
+	}
+	if !c.listed {
+		c.listed = true
 		w.order = append(w.order, c)
 	}
 	return c
@@ -265,19 +282,21 @@
 }
 
 // speed is how fast one running inference goes.
-func (f *Fleet) speed(w *worker) float64 {
+func (f *Fleet) speed(w *worker) float64 { return f.speedAt(w, f.now) }
+
+func (f *Fleet) speedAt(w *worker, now float64) float64 {
 	n := float64(len(w.running))
 	if n == 0 || !w.up {
 		return 0
 	}
-	v := w.Speed * math.Min(1, w.Cores*w.capacity(f.now)/n)
+	v := w.Speed * math.Min(1, w.Cores*w.capacity(now)/n)
 	if x, ok := w.faults["slow"]; ok {
 		v /= x.Factor
 	}
 	if x, ok := w.faults["ageing"]; ok {
-		v /= 1 + (x.Factor-1)*(f.now-x.since)/x.Span
+		v /= 1 + (x.Factor-1)*(now-x.since)/x.Span
 	}
-	if _, ok := w.faults["pauses"]; ok && math.Mod(f.now, 1) < 0.3 {
+	if _, ok := w.faults["pauses"]; ok && math.Mod(now, 1) < 0.3 {
 		v = 0
 	}
 	if _, ok := w.faults["hang"]; ok {
@@ -288,8 +307,9 @@
 
 // Arrive hands an inference or an order to a worker. Its verdict may stand at once; else Advance returns it later.
 func (f *Fleet) Arrive(now float64, i int, r *Req) {
-	f.Advance(now)
 	w := f.workers[i]
+	f.enter(now, w)
+	defer f.leave(w)
 	spec := f.model(r.Model)
 	r.w = w
 	switch {
@@ -448,7 +468,7 @@
 		}
 		f.unload(w, idle)
 	}
-	c.isLoading, c.boot, c.loading = true, c.spec.Boot, 0
+	c.isLoading, c.boot, c.loading = true, math.Max(1e-6, c.spec.Boot), 0
 	w.memory += c.spec.MemoryMB
 	if !c.image {
 		if f.spec.Store.Limit > 0 && f.fetches >= f.spec.Store.Limit {
@@ -458,6 +478,7 @@
 			return false
 		}
 		f.fetches++
+		f.stale = true
 		f.Fetched++
 		c.loading = math.Max(1e-6, c.spec.Fetch)
 	}
@@ -473,8 +494,9 @@
 
 // Unload drops the idle copies of a model.
 func (f *Fleet) Unload(now float64, i int, model string) {
-	f.Advance(now)
 	w := f.workers[i]
+	f.enter(now, w)
+	defer f.leave(w)
 	if c := w.models[model]; c != nil {
 		for c.stand > c.busy {
 			f.unload(w, c)
@@ -512,7 +534,8 @@
 
 // Cancel takes note that an inference's connection was closed.
 func (f *Fleet) Cancel(now float64, r *Req) {
-	f.Advance(now)
+	f.enter(now, r.w)
+	defer f.leave(r.w)
 	r.cancelled = true
 	if r.st == runs && r.w.StopsCancelled {
 		f.stop(r)
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -19,6 +19,8 @@
 	x.since, x.until = now, now+x.Span
 	if x.Kind == "store_slow" {
 		f.faults = append(f.faults, x)
+		f.stale = true
+		f.pace()
 		return true
 	}
 	hit := false
@@ -27,6 +29,7 @@
 			continue
 		}
 		hit = true
+		f.enter(now, w)
 		f.log(w, "fault-"+x.Kind, nil)
 		switch x.Kind {
 		case "vanish":
@@ -36,14 +39,18 @@
 		default:
 			w.faults[x.Kind] = x
 		}
+		f.leave(w)
 	}
 	return hit
 }
 
 // flush voids all copies and images; what runs goes on.
 func (f *Fleet) flush(w *worker) {
+	for _, c := range w.models {
+		c.image = false
+	}
 	for _, c := range w.order {
-		for c.image = false; c.stand > c.busy; {
+		for c.stand > c.busy {
 			f.unload(w, c)
 		}
 		if len(c.waiting) > 0 && c.stand == 0 && !c.isLoading {
@@ -73,20 +80,23 @@
 	}
 	w.up, w.backAt = false, back
 	f.log(w, "vanish", nil)
+	for _, c := range w.models {
+		c.image = c.image && w.Disk
+	}
 	for _, c := range w.order {
 		if c.isLoading && c.loading > 0 {
 			f.fetches--
+			f.stale = true
 		}
 		for _, r := range append(c.waiting, c.orders...) {
 			r.st, r.Verdict, r.EndAt = ended, Dead, f.now
 		}
-		image := c.image && w.Disk
-		*c = copies{spec: c.spec, name: c.name, image: image}
+		*c = copies{spec: c.spec, name: c.name, image: c.image}
 	}
 	for _, r := range w.running {
 		r.st, r.Verdict, r.EndAt = ended, Dead, f.now
 	}
-	w.running, w.memory, w.held, w.sent = nil, 0, 0, nil
+	w.running, w.order, w.memory, w.held, w.sent = nil, nil, 0, 0, nil
 	clear(w.faults)
 	if f.Vanished != nil {
 		f.Vanished(w.i)
