--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -120,14 +121,19 @@
 }
 
 type labDayCmd struct {
-	File string `arg:"" type:"existingfile" help:"Day file (YAML); docs/lab.md describes it, days/ has some."`
-	JSON bool   `name:"json" help:"Print the report as JSON."`
-	Keep string `help:"Keep settings, logs and records in this directory."`
-	Seed uint64 `help:"Play it with another seed."`
+	File      string `arg:"" type:"existingfile" help:"Day file (YAML); docs/lab.md describes it, days/ has some."`
+	JSON      bool   `name:"json" help:"Print the report as JSON."`
+	Keep      string `help:"Keep settings, logs and records in this directory."`
+	Seed      uint64 `help:"Play it with another seed."`
+	Simulated bool   `help:"Play it in simulated time in this process: the same bytes for the same seed."`
 }
 
 func (c *labDayCmd) Run() error {
-	day, err := lab.LoadDay(c.File)
+	clock := lab.Sockets
+	if c.Simulated {
+		clock = lab.Simulated
+	}
+	day, err := lab.LoadDay(c.File, clock)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCode(app.ExitError)
@@ -146,16 +152,19 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	evidence, rep, err := lab.Play(ctx, day, lab.Options{Self: []string{self}, Dir: c.Keep, Say: os.Stderr})
+	var evidence *lab.Evidence
+	var rep *lab.Report
+	if c.Simulated {
+		evidence, rep = lab.Simulate(ctx, day, nil, os.Stderr)
+		if c.Keep != "" {
+			err = jsonLines(c.Keep+"/records.jsonl", evidence.Records)
+		}
+	} else {
+		evidence, rep, err = lab.Play(ctx, day, lab.Options{Self: []string{self}, Dir: c.Keep, Say: os.Stderr})
+	}
 	if rep != nil {
 		if c.Keep != "" {
-			if f, err := os.Create(c.Keep + "/tries.jsonl"); err == nil {
-				e := json.NewEncoder(f)
-				for _, t := range evidence.Tries {
-					e.Encode(t)
-				}
-				f.Close()
-			}
+			err = errors.Join(err, jsonLines(c.Keep+"/tries.jsonl", evidence.Tries))
 		}
 		if c.JSON {
 			e := json.NewEncoder(os.Stdout)
@@ -174,6 +183,21 @@
 	return nil
 }
 
+func jsonLines[T any](file string, list []T) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(f)
+	e := json.NewEncoder(w)
+	for _, x := range list {
+		if err := e.Encode(x); err != nil {
+			return err
+		}
+	}
+	return errors.Join(w.Flush(), f.Close())
+}
+
 type standinCmd struct {
 	Workers int    `default:"3" help:"How many workers, without --spec."`
 	Listen  string `default:"127.0.0.1" help:"IP address to listen on."`
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -6,8 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -156,36 +154,21 @@
 	wait     sync.WaitGroup
 }
 
-// load plays the arrivals of the day: open loop, Poisson, from the day's seed.
+// load plays the arrivals of the day: open loop.
 func (c *crowd) load(ctx context.Context, begin time.Time) {
-	rnd := rand.New(rand.NewPCG(c.day.Seed, 2))
-	models := c.day.popularity()
-	for at, n := 0.0, 0; ; n++ {
-		rate := c.day.Clients.Rate
-		for _, b := range c.day.Clients.Bursts {
-			if at >= b.At.Seconds && at < b.At.Seconds+b.For.Seconds {
-				rate *= b.Factor
-			}
-		}
-		if at += rnd.ExpFloat64() / rate; at >= c.day.Seconds.Seconds {
+	for next := c.day.arrivals(); ; {
+		a, ok := next()
+		if !ok {
 			break
 		}
-		x, m := rnd.Float64(), models[len(models)-1]
-		for _, o := range models {
-			if x <= o.upTo {
-				m = o
-				break
-			}
-		}
-		seed := rnd.Uint64()
-		time.Sleep(time.Until(begin.Add(time.Duration(at * float64(time.Second)))))
+		time.Sleep(time.Until(begin.Add(time.Duration(a.at * float64(time.Second)))))
 		if ctx.Err() != nil {
 			break
 		}
 		c.wait.Add(1)
 		go func() {
 			defer c.wait.Done()
-			c.call(fmt.Sprintf("k%d-%d", c.day.Seed, n), m, rand.New(rand.NewPCG(seed, 3)))
+			c.call(newCaller(c.day, a, len(c.gateways)))
 		}()
 	}
 	c.wait.Wait()
@@ -194,45 +177,28 @@
 	}
 }
 
-// call is one logical call: a first try, and further ones after a shed answer, which promises that trying again is
-// harmless; after a failure only where the model group may run again.
-func (c *crowd) call(key string, m named, rnd *rand.Rand) {
-	end := time.Now().Add(time.Duration(m.group.Timeout.Seconds * float64(time.Second)))
-	tenant := ""
-	if n := len(c.day.Settings.Tenants); n > 0 {
-		tenant = c.day.Settings.Tenants[rnd.IntN(n)].Name
-	}
-	for n := 0; n <= c.day.Clients.Retries; n++ {
-		left := time.Until(end).Seconds()
-		if left < 0.05 {
+// call plays one logical call.
+func (c *crowd) call(k *caller) {
+	begin := time.Now()
+	for {
+		t, ok := k.next(time.Since(begin).Seconds())
+		if !ok {
 			return
 		}
-		t := &Try{Key: key, Number: n, Model: m.name, Group: m.group.Name, Timeout: math.Min(left, m.group.Timeout.Seconds*(0.5+rnd.Float64()/2))}
-		patience := t.Timeout
-		if rnd.Float64() < c.day.Clients.Impatient {
-			patience *= 0.05 + 0.6*rnd.Float64()
-		}
-		again := 0.0
-		first := rnd.IntN(len(c.gateways))
+		again, made := 0.0, *t
 		for i := range c.gateways { // one that refuses connections is passed over: nothing was taken there
-			*t = Try{Key: key, Number: n, Model: t.Model, Group: t.Group, Timeout: t.Timeout}
-			if again = c.gateways[(first+i)%len(c.gateways)].try(t, tenant, patience, n > 0); !t.Refused {
+			*t = made
+			if again = c.gateways[(k.first+i)%len(c.gateways)].try(t, k.tenant, k.patience, t.Number > 0); !t.Refused {
 				break
 			}
 		}
 		c.mu.Lock()
 		c.tries = append(c.tries, t)
 		c.mu.Unlock()
-		switch {
-		case t.Answer == "returned" || t.Left:
+		wait, ok := k.after(t, again)
+		if !ok {
 			return
-		case t.Answer == "shed" || t.Refused || t.Answered > 0 && t.Answer == "":
-			again += 0.02 + 0.1*rnd.Float64()
-		case m.group.Effect == "retriable":
-			again = 0.05 + 0.1*rnd.Float64()
-		default:
-			return // it may have run, and nobody promised anything
 		}
-		time.Sleep(time.Duration(again * float64(time.Second)))
+		time.Sleep(time.Duration(wait * float64(time.Second)))
 	}
 }
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -28,7 +28,8 @@
 	Troubles    []Trouble       `yaml:"troubles"`
 	Kills       []Kill          `yaml:"kills"`
 	Drains      []Drain         `yaml:"drains"`
-	Stale       []Span          `yaml:"stale"` // the list of workers is stuck: drains are heard at its end only
+	Network     Network         `yaml:"network"` // in simulated time; over sockets it is what loopback is
+	Stale       []Span          `yaml:"stale"`   // the list of workers is stuck: drains are heard at its end only
 }
 
 // Fleet describes the stand-in workers.
@@ -77,6 +78,13 @@
 	Factor float64 `yaml:"factor"`
 }
 
+// Network is what messages between clients, dispatchers and workers meet, each way.
+type Network struct {
+	Delay  config.Duration `yaml:"delay"`
+	Jitter config.Duration `yaml:"jitter"` // mean of what is added, exponential
+	Lost   float64         `yaml:"lost"`   // share of messages lost once and sent again after resend
+}
+
 // Span is a time of the day.
 type Span struct {
 	At  config.Duration `yaml:"at"`
@@ -109,27 +117,40 @@
 	State  string          `yaml:"state"`
 }
 
-// What one machine can hold of a day.
+// Clock says how a day is played: over sockets in real processes, or in simulated time.
+type Clock uint8
+
 const (
-	mostDispatchers = 16
-	mostWorkers     = 200
-	mostRate        = 2000.0
-	mostLength      = 3600.0
+	Sockets Clock = iota
+	Simulated
 )
 
+// most is what one machine can hold of a day.
+type most struct {
+	dispatchers, workers, rate, inferences float64
+}
+
+const mostLength = 3600.0 // s
+
+var mosts = map[Clock]most{
+	Sockets:   {dispatchers: 16, workers: 200, rate: 2000, inferences: 2e6},
+	Simulated: {dispatchers: 400, workers: 1000, rate: 20000, inferences: 2e6},
+}
+
 // LoadDay reads and checks a day file; its settings are completed with the fleet's models.
-func LoadDay(file string) (*Day, error) {
+func LoadDay(file string, clock Clock) (*Day, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	return ParseDay(file, text)
+	return ParseDay(file, text, clock)
 }
 
 // ParseDay reads and checks a day; file is for messages only. The error is config.Problems.
-func ParseDay(file string, text []byte) (*Day, error) {
+func ParseDay(file string, text []byte, clock Clock) (*Day, error) {
 	d := &Day{Seed: 1, Dispatchers: 1, Settings: config.Default(), Fleet: Fleet{Zones: 1, Cores: 4, Speed: 1, Memory: config.B(2e9),
-		Queue: 64, Loads: 4, Disk: true, StopsCancelled: true, StoreSlots: 4, StoreLimit: 24}}
+		Queue: 64, Loads: 4, Disk: true, StopsCancelled: true, StoreSlots: 4, StoreLimit: 24},
+		Network: Network{Delay: config.S(0.0001), Jitter: config.S(0.0001)}}
 	s, err := config.Decode(file, text, d)
 	if err != nil {
 		return nil, err
@@ -137,14 +158,14 @@
 	if p := s.Problems(); len(p) > 0 {
 		return nil, p
 	}
-	d.check(s)
+	d.check(s, mosts[clock])
 	if p := s.Problems(); len(p) > 0 {
 		return nil, p
 	}
 	return d, nil
 }
 
-func (d *Day) check(s *config.Source) {
+func (d *Day) check(s *config.Source, m most) {
 	between := func(path string, v, low, high float64) {
 		if !(v >= low && v <= high) {
 			s.At("$."+path, "%g is out of range: write %g to %g", v, low, high)
@@ -152,14 +173,14 @@
 	}
 	length := d.Seconds.Seconds
 	between("length", length, 1, mostLength)
-	between("dispatchers", float64(d.Dispatchers), 1, mostDispatchers)
-	between("fleet.workers", float64(d.Fleet.Workers), 1, mostWorkers)
+	between("dispatchers", float64(d.Dispatchers), 1, m.dispatchers)
+	between("fleet.workers", float64(d.Fleet.Workers), 1, m.workers)
 	between("fleet.zones", float64(d.Fleet.Zones), 1, 100)
 	between("fleet.cores", d.Fleet.Cores, 0.1, 1024)
 	between("fleet.speed", d.Fleet.Speed, 0.01, 100)
 	between("fleet.queue", float64(d.Fleet.Queue), 0, 1e6)
 	between("fleet.loads", float64(d.Fleet.Loads), 1, 1e6)
-	between("clients.rate", d.Clients.Rate, 0.1, mostRate)
+	between("clients.rate", d.Clients.Rate, 0.1, m.rate)
 	between("clients.retries", float64(d.Clients.Retries), 0, 20)
 	between("clients.impatient", d.Clients.Impatient, 0, 1)
 	if d.Fleet.Keep.Seconds == 0 {
@@ -247,9 +268,15 @@
 		span(at, b.At.Seconds, b.For.Seconds)
 		between(at+".factor", b.Factor, 0, 100)
 	}
-	if peak := d.Clients.Rate * d.peak(); peak > mostRate {
-		s.At("$.clients.bursts", "%g inferences a second at the peak are more than one machine plays: %g at most", peak, mostRate)
+	if peak := d.Clients.Rate * d.peak(); peak > m.rate {
+		s.At("$.clients.bursts", "%g inferences a second at the peak are more than one machine plays: %g at most", peak, m.rate)
+	}
+	if n := d.Clients.Rate * length; n > m.inferences {
+		s.At("$.length", "%g inferences in all are more than one machine keeps: %g at most", n, m.inferences)
 	}
+	between("network.delay", d.Network.Delay.Seconds, 0, 10)
+	between("network.jitter", d.Network.Jitter.Seconds, 0, 10)
+	between("network.lost", d.Network.Lost, 0, 1)
 }
 
 func (d *Day) peak() float64 {
@@ -260,6 +287,29 @@
 	return f
 }
 
+// word is what dispatchers are told of a worker, and when.
+type word struct {
+	at            float64
+	worker, state string
+}
+
+// words are all the day's: a list that is stuck is heard at the end of that.
+func (d *Day) words() (out []word) {
+	for _, x := range d.Drains {
+		heard, back := x.At.Seconds, x.At.Seconds+x.For.Seconds
+		for _, s := range d.Stale {
+			if heard >= s.At.Seconds && heard < s.At.Seconds+s.For.Seconds {
+				heard = s.At.Seconds + s.For.Seconds
+			}
+		}
+		out = append(out, word{heard, x.Worker, x.State})
+		if x.For.Seconds > 0 && back > heard {
+			out = append(out, word{back, x.Worker, "ready"})
+		}
+	}
+	return out
+}
+
 // KindNames lists the troubles known.
 func KindNames() []string {
 	var out []string
--- a/internal/lab/day_test.go
+++ b/internal/lab/day_test.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	day, err := lab.ParseDay("short", []byte(short))
+	day, err := lab.ParseDay("short", []byte(short), lab.Sockets)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +85,7 @@
 		t.Errorf("%d days", len(files))
 	}
 	for _, f := range files {
-		if _, err := lab.LoadDay(f); err != nil {
+		if _, err := lab.LoadDay(f, lab.Sockets); err != nil {
 			t.Error(err)
 		}
 	}
@@ -108,7 +108,7 @@
 		{"seed: 3", "sead: 3", "unknown field"},
 	} {
 		text := strings.Replace(short, c.old, c.new, 1)
-		_, err := lab.ParseDay("day.yaml", []byte(text))
+		_, err := lab.ParseDay("day.yaml", []byte(text), lab.Sockets)
 		if err == nil || !strings.Contains(err.Error(), c.says) || !strings.HasPrefix(err.Error(), "day.yaml:") {
 			t.Errorf("%s for %s: %v", c.new, c.old, err)
 		}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -15,6 +15,9 @@
 // that was returned to it.
 type Report struct {
 	Day      string             `json:"day"`
+	Clock    string             `json:"clock"` // sockets or simulated
+	Seed     uint64             `json:"seed"`
+	Partial  bool               `json:"partial,omitempty"` // it was interrupted
 	Findings []Finding          `json:"rules"`
 	Groups   []GroupReport      `json:"groups"`
 	Service  float64            `json:"service"`          // value returned within the SLO time over value asked for
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -142,7 +142,7 @@
 	r.wait.Wait()
 	guards := r.guards()
 	e := &Evidence{Settings: &day.Settings, Zones: map[string]string{}, Cells: map[string]string{}, Words: r.words, Downs: r.downs}
-	rep := &Report{Guards: guards}
+	rep := &Report{Guards: guards, Clock: "sockets", Seed: day.Seed, Partial: ctx.Err() != nil}
 	for _, d := range r.disp {
 		rep.Exits = append(rep.Exits, d.proc.stop(20*time.Second))
 	}
@@ -318,17 +318,8 @@
 	for _, k := range r.day.Kills {
 		at(k.At.Seconds, func() { r.kill(r.disp[k.Dispatcher], k.Down.Seconds) })
 	}
-	for _, d := range r.day.Drains {
-		heard, back := d.At.Seconds, d.At.Seconds+d.For.Seconds
-		for _, s := range r.day.Stale {
-			if heard >= s.At.Seconds && heard < s.At.Seconds+s.For.Seconds {
-				heard = s.At.Seconds + s.For.Seconds
-			}
-		}
-		at(heard, func() { r.tell(d.Worker, d.State) })
-		if d.For.Seconds > 0 && back > heard {
-			at(back, func() { r.tell(d.Worker, "ready") })
-		}
+	for _, w := range r.day.words() {
+		at(w.at, func() { r.tell(w.worker, w.state) })
 	}
 }
 
--- /dev/null
+++ b/internal/lab/simhost.go
@@ -0,0 +1,585 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"path"
+	"slices"
+
+	"mastchute/control"
+	"mastchute/internal/config"
+	"mastchute/internal/roster"
+	"mastchute/internal/standin"
+)
+
+// Start makes the decisions of a dispatcher.
+type Start = func(seed uint64, s control.Settings, a control.Actions) control.Module
+
+// simHost stands for gateway in simulated time: the same order of events towards the decisions, the same guards.
+type simHost struct {
+	s        *sim
+	i        int
+	name     string
+	start    Start
+	life     int // counts its starts
+	module   control.Module
+	origin   float64
+	roster   *roster.Roster
+	seq      uint64
+	hand     map[control.InferenceID]*simInference
+	order    []*simInference // as they came, for a kill
+	open     int
+	settling bool
+	told     bool // Subscribe is on
+	wakes    map[control.TimerID]int
+}
+
+type simModel struct {
+	name  string
+	id    control.ModelID
+	info  config.Model
+	group config.Group
+	index control.GroupID
+}
+
+// model looks a model up as the gateway does: the first of the catalogue that fits.
+func (s *sim) model(name string) *simModel {
+	if m := s.models[name]; m != nil {
+		return m
+	}
+	for _, c := range s.day.Settings.Models {
+		if ok, _ := path.Match(c.Name, name); !ok {
+			continue
+		}
+		m := &simModel{name: name, id: config.ModelID(name), info: c}
+		for i, g := range s.day.Settings.Groups {
+			if g.Name == c.Group {
+				m.group, m.index = g, control.GroupID(i)
+			}
+		}
+		s.models[name] = m
+		return m
+	}
+	return nil
+}
+
+// reply is what a client gets.
+type reply struct {
+	status     int
+	answer     string
+	inference  string
+	retryAfter float64
+	error      string // no answer came about
+}
+
+type simInference struct {
+	id       control.InferenceID
+	name     string
+	h        *simHost
+	model    *simModel
+	key      string
+	tenant   string
+	notAfter float64
+	reply    func(reply)
+	forwards []*simForward
+	out      int
+	final    bool
+}
+
+// simForward is one sending to a worker: of an inference, or of an order.
+type simForward struct {
+	h        *simHost
+	q        *simInference
+	n        int
+	w        int
+	made     float64
+	req      standin.Req
+	sentAt   float64 // the worker's start as it was sent, to tell a reset
+	answered bool    // by the worker, or its connection is lost
+	done     bool
+	end      func(*told)
+}
+
+// told is what a worker's answer says.
+type told struct {
+	result control.Result
+	found  control.Found
+	crowd  int
+	report []float64
+	start  float64
+	copies int
+	lost   bool // no answer: the connection is lost
+}
+
+// up starts the dispatcher.
+func (h *simHost) up() {
+	s := h.s
+	h.life++
+	h.origin, h.roster, h.hand, h.order = s.now, roster.New(config.WorkerID), map[control.InferenceID]*simInference{}, nil
+	h.wakes, h.open, h.settling, h.told = map[control.TimerID]int{}, 0, false, false
+	seed := s.day.Seed*1000 + uint64(h.i) + 1
+	cfg := s.day.Settings
+	cfg.Name = h.name
+	h.module = h.start(seed, cfg.Settings(), h)
+	var list []roster.Entry
+	for _, w := range s.spec.Workers {
+		list = append(list, roster.Entry{Name: w.Name, Zone: w.Zone, Cell: w.Cell, Weight: 1, State: control.Ready})
+	}
+	h.event(func() {
+		h.roster.Replace(roster.Config, list, 0)
+		for i, w := range s.spec.Workers {
+			if s.fleet.Up(i) {
+				h.roster.Started(h.roster.Named(w.Name), simEpoch+s.fleet.Start(i), s.fleet.Start(i)-h.origin, 0)
+			}
+		}
+		if cfg.Roster.Discovery == "push" {
+			h.told = true
+			h.list(control.ListComplete)
+		} else {
+			h.list(control.ListCached)
+		}
+	})
+}
+
+// kill ends it outright: its connections are lost, and all it knew.
+func (h *simHost) kill() {
+	if h.module == nil {
+		return
+	}
+	h.module = nil
+	for _, q := range h.order {
+		if !q.final {
+			q.final = true
+			q.reply(reply{error: "connection reset"})
+		}
+		for _, f := range q.forwards {
+			if !f.done {
+				f.done = true
+				h.s.called(f)
+			}
+		}
+	}
+	h.life++
+}
+
+// event tells the decisions something, and has them settle at the end of this moment.
+func (h *simHost) event(f func()) {
+	if h.module == nil {
+		return
+	}
+	h.module.At(h.s.now - h.origin)
+	f()
+	if !h.settling {
+		h.settling = true
+		life := h.life
+		h.s.after(0, func() {
+			if h.module != nil && h.life == life {
+				h.settling = false
+				h.module.Settle()
+			}
+		})
+	}
+}
+
+func (h *simHost) list(kind control.ListKind) {
+	var lines []control.WorkerInfo
+	for _, w := range h.roster.All() {
+		lines = append(lines, w.Line())
+	}
+	h.module.Workers(kind, h.roster.Version, lines)
+}
+
+func (h *simHost) changes(list []*roster.Worker) {
+	var lines []control.WorkerInfo
+	for _, w := range list {
+		lines = append(lines, w.Line())
+	}
+	if len(lines) > 0 && h.told {
+		h.event(func() { h.module.Workers(control.ListChanges, h.roster.Version, lines) })
+	}
+}
+
+// hear takes the admin interface's word on a worker.
+func (h *simHost) hear(worker, state string) {
+	if h.module == nil {
+		return
+	}
+	st := map[string]control.WorkerState{"ready": control.Ready, "draining": control.Draining, "gone": control.Gone}[state]
+	changed, _ := h.roster.Rule(roster.Entry{Name: worker, State: st}, h.s.now-h.origin)
+	h.s.e.Words = append(h.s.e.Words, Word{h.name, worker, state, simEpoch + h.s.now})
+	h.changes(changed)
+}
+
+// take takes an inference in.
+func (h *simHost) take(y *simTry, k *caller, answer func(reply)) *simInference {
+	s := h.s
+	m := s.model(y.Model)
+	if h.open >= s.day.Settings.Limits.Inferences {
+		answer(reply{status: 503})
+		return nil
+	}
+	h.seq++
+	span := math.Min(m.group.Timeout.Seconds, y.Timeout)
+	q := &simInference{id: control.InferenceID(h.seq), name: fmt.Sprintf("%s-%d-%d", h.name, h.life, h.seq), h: h, model: m, key: k.key,
+		tenant: k.tenant, notAfter: s.now + span, reply: answer}
+	h.hand[q.id] = q
+	h.order = append(h.order, q)
+	h.open++
+	in := control.Inference{ID: q.id, Model: m.id, Group: m.index, Tenant: math.MaxUint16, MemoryMB: m.info.Memory.MB(),
+		Lanes: m.info.Lanes, Load: m.info.Load.Seconds, NotAfter: s.now + y.Timeout - h.origin, Repeat: y.Number > 0}
+	if i := slices.IndexFunc(s.day.Settings.Tenants, func(t config.Tenant) bool { return t.Name == k.tenant }); i >= 0 {
+		in.Tenant = control.TenantID(i)
+	}
+	life := h.life
+	s.at(q.notAfter, func() { h.timeUp(q, life) })
+	h.event(func() { h.module.Inference(in) })
+	return q
+}
+
+func (h *simHost) timeUp(q *simInference, life int) {
+	if h.life != life || h.hand[q.id] != q {
+		return
+	}
+	if !q.final {
+		h.s.guards["late"]++
+		h.finish(q, reply{status: 504, answer: "failed"})
+		h.event(func() { h.module.Withdrawn(q.id) })
+	}
+	for _, f := range q.forwards {
+		h.ended(f, &told{result: control.TimedOut})
+	}
+}
+
+// left: the client has gone.
+func (h *simHost) left(q *simInference) {
+	if q == nil || q.final || h.module == nil || h.hand[q.id] != q {
+		return
+	}
+	h.close(q)
+	h.event(func() { h.module.Withdrawn(q.id) })
+}
+
+// finish gives the final answer.
+func (h *simHost) finish(q *simInference, a reply) {
+	if q.final {
+		h.s.guards["second_answer"]++
+		return
+	}
+	a.inference = q.name
+	q.reply(a)
+	h.close(q)
+}
+
+func (h *simHost) close(q *simInference) {
+	q.final = true
+	h.open--
+	for _, f := range q.forwards {
+		h.ended(f, &told{result: control.Cancelled, crowd: -1})
+	}
+	h.s.after(0, func() { h.letGo(q) })
+}
+
+func (h *simHost) letGo(q *simInference) {
+	if q.final && q.out == 0 && h.hand[q.id] == q {
+		delete(h.hand, q.id)
+		if len(h.order) > 64 && len(h.order) > 2*len(h.hand) {
+			h.order = slices.DeleteFunc(h.order, func(o *simInference) bool { return h.hand[o.id] != o })
+		}
+	}
+}
+
+// ended ends a forward, once, and has its outcome told.
+func (h *simHost) ended(f *simForward, t *told) {
+	if f.done {
+		return
+	}
+	f.done = true
+	s, q := h.s, f.q
+	if t.result == control.TimedOut || t.result == control.Cancelled {
+		s.called(f)
+	}
+	if t.result == control.Returned && !q.final {
+		h.finish(q, reply{status: 200, answer: "returned"})
+	}
+	o := control.Outcome{ID: q.id, Forward: f.n, Worker: config.WorkerID(s.spec.Workers[f.w].Name), Took: s.now - f.made,
+		Result: t.result, Found: t.found, Crowd: t.crowd, Report: t.report}
+	life := h.life
+	s.after(0, func() {
+		if h.life == life && h.module != nil {
+			q.out--
+			o.Final = q.final
+			h.event(func() { h.module.Outcome(o) })
+			h.letGo(q)
+		}
+	})
+}
+
+// The actions, as control.Actions names them.
+
+func (h *simHost) Forward(id control.InferenceID, wid control.WorkerID, timeout control.Seconds) {
+	s, q, w := h.s, h.hand[id], h.roster.Find(wid)
+	if q == nil || w == nil {
+		s.guards["unknown"]++
+		return
+	}
+	f := &simForward{h: h, q: q, n: len(q.forwards), w: s.worker(w.Name), made: s.now}
+	q.forwards = append(q.forwards, f)
+	q.out++
+	if q.final || w.State != control.Ready {
+		s.guards["forward_barred"]++
+		h.ended(f, &told{result: control.Moot, crowd: -1})
+		return
+	}
+	if timeout > 0 {
+		life := h.life
+		s.after(timeout, func() {
+			if h.life == life {
+				h.ended(f, &told{result: control.TimedOut, crowd: -1})
+			}
+		})
+	}
+	f.req = standin.Req{Owner: f, Model: q.model.name, Tenant: q.tenant, Key: q.key, Until: q.notAfter}
+	f.end = func(t *told) {
+		h.heard(f.w, t)
+		if t.lost {
+			t.result = control.Reset
+		}
+		h.ended(f, t)
+	}
+	s.send(f)
+}
+
+func (h *simHost) Shed(id control.InferenceID, retryAfter control.Seconds) {
+	if q := h.hand[id]; q != nil {
+		h.finish(q, reply{status: 503, answer: "shed", retryAfter: retryAfter})
+	}
+}
+
+func (h *simHost) Fail(id control.InferenceID) {
+	if q := h.hand[id]; q != nil {
+		h.finish(q, reply{status: 502, answer: "failed"})
+	}
+}
+
+func (h *simHost) Cancel(id control.InferenceID, n int) {
+	if q := h.hand[id]; q != nil && n < len(q.forwards) {
+		h.ended(q.forwards[n], &told{result: control.Cancelled, crowd: -1})
+	}
+}
+
+func (h *simHost) Order(wid control.WorkerID, m control.ModelID, copies int) {
+	s, w := h.s, h.roster.Find(wid)
+	name := ""
+	for _, o := range s.models {
+		if o.id == m {
+			name = o.name
+		}
+	}
+	if w == nil || name == "" {
+		s.guards["unknown"]++
+		return
+	}
+	f := &simForward{h: h, w: s.worker(w.Name), made: s.now}
+	f.req = standin.Req{Owner: f, Model: name, Order: 1, Copies: copies}
+	life := h.life
+	tell := func(r control.Result, copies int) {
+		if f.done || h.life != life {
+			return
+		}
+		f.done = true
+		res := control.OrderResult{Worker: wid, Model: m, Result: r, Took: s.now - f.made, Copies: copies}
+		h.event(func() { h.module.Ordered(res) })
+	}
+	if w.State != control.Ready {
+		s.guards["order_barred"]++
+		s.after(0, func() { tell(control.Moot, 0) })
+		return
+	}
+	f.end = func(t *told) {
+		h.heard(f.w, t)
+		if t.lost {
+			t.result = control.Reset
+		}
+		tell(t.result, t.copies)
+	}
+	s.after(s.day.Settings.Loads.Timeout.Seconds, func() { tell(control.TimedOut, 0) })
+	s.send(f)
+}
+
+func (h *simHost) Unload(wid control.WorkerID, m control.ModelID) {
+	s, w := h.s, h.roster.Find(wid)
+	for _, o := range s.models {
+		if o.id == m && w != nil {
+			s.message(func() { s.fleet.Unload(s.now, s.worker(w.Name), o.name) })
+		}
+	}
+}
+
+func (h *simHost) Probe(wid control.WorkerID) {
+	s, w := h.s, h.roster.Find(wid)
+	if w == nil {
+		return
+	}
+	i, made, life := s.worker(w.Name), s.now, h.life
+	s.message(func() {
+		t := &told{result: control.ConnectFailed}
+		if s.fleet.Up(i) {
+			t = s.tells(i)
+		}
+		s.message(func() {
+			if h.life == life {
+				h.heard(i, t)
+				h.event(func() {
+					h.module.Probed(control.ProbeResult{Worker: wid, Result: t.result, Took: s.now - made, Report: t.report})
+				})
+			}
+		})
+	})
+}
+
+func (h *simHost) CloseIdle(control.WorkerID) {}
+
+func (h *simHost) Tell(control.PeerID, []byte) { h.s.guards["note_dropped"]++ }
+
+func (h *simHost) Subscribe(on bool) {
+	was := h.told
+	if h.told = on; on && !was {
+		h.FetchList()
+	}
+}
+
+func (h *simHost) FetchList() {
+	life := h.life
+	h.s.after(0, func() {
+		if h.life == life {
+			h.event(func() { h.list(control.ListComplete) })
+		}
+	})
+}
+
+func (h *simHost) Wake(after control.Seconds, id control.TimerID) {
+	h.wakes[id]++
+	n, life := h.wakes[id], h.life
+	h.s.after(after, func() {
+		if h.life == life && h.wakes[id] == n {
+			h.event(func() { h.module.Timer(id) })
+		}
+	})
+}
+
+func (h *simHost) Log(string) {}
+
+// heard takes what any answer tells of its worker.
+func (h *simHost) heard(i int, t *told) {
+	if t.start <= 0 || h.module == nil {
+		return
+	}
+	w := h.roster.Named(h.s.spec.Workers[i].Name)
+	if h.roster.Started(w, t.start, t.start-simEpoch-h.origin, h.s.now-h.origin) {
+		h.changes([]*roster.Worker{w})
+	}
+}
+
+// The way to workers and back.
+
+func (s *sim) worker(name string) int {
+	var n int
+	fmt.Sscanf(name, "w%d", &n)
+	return n - 1
+}
+
+// send carries a forward or an order to its worker. A connection to a worker that is down does not come about; one
+// that was under way when the worker went is reset.
+func (s *sim) send(f *simForward) {
+	was, up := s.fleet.Start(f.w), s.fleet.Up(f.w)
+	arrive := func() {
+		switch {
+		case f.done: // called off on its way; the worker sees a closed connection
+			return
+		case !up:
+			f.answered = true
+			s.message(func() { f.end(&told{result: control.ConnectFailed, crowd: -1}) })
+			return
+		case !s.fleet.Up(f.w) || s.fleet.Start(f.w) != was:
+			f.answered = true
+			s.message(func() { f.end(&told{lost: true, crowd: -1}) })
+			return
+		}
+		s.sends[f.w] = append(s.sends[f.w], f)
+		s.fleet.Arrive(s.now, f.w, &f.req)
+		if f.req.Verdict != standin.Open {
+			s.answer(f)
+		}
+	}
+	s.message(func() {
+		if s.fleet.Has(f.w, "slow_connect") {
+			s.after(0.2, arrive)
+			return
+		}
+		arrive()
+	})
+}
+
+// called tells a worker that a forward was called off.
+func (s *sim) called(f *simForward) {
+	if f.answered || f.end == nil { // answered, or never sent
+		return
+	}
+	s.message(func() {
+		if !f.answered && slices.Contains(s.sends[f.w], f) {
+			s.drop(f)
+			s.fleet.Cancel(s.now, &f.req)
+		}
+	})
+}
+
+func (s *sim) drop(f *simForward) {
+	f.answered = true
+	if i := slices.Index(s.sends[f.w], f); i >= 0 {
+		s.sends[f.w] = slices.Delete(s.sends[f.w], i, i+1)
+	}
+}
+
+// tells is what every answer of a worker tells.
+func (s *sim) tells(i int) *told {
+	t := &told{result: control.Returned, crowd: -1, start: simEpoch + s.fleet.Start(i)}
+	in, queue := s.fleet.Report(i)
+	for _, f := range s.day.Settings.Report {
+		switch f {
+		case "inflight":
+			t.report = append(t.report, in)
+		case "queue":
+			t.report = append(t.report, queue)
+		}
+	}
+	if len(t.report) < len(s.day.Settings.Report) {
+		t.report = nil
+	}
+	return t
+}
+
+// answer sends a worker's answer on its way.
+func (s *sim) answer(f *simForward) {
+	r := &f.req
+	if f.answered || r.Verdict == standin.Silent || r.Verdict == standin.Dead {
+		return
+	}
+	s.drop(f)
+	t := s.tells(f.w)
+	t.copies = r.Copies
+	switch r.Verdict {
+	case standin.Served:
+		t.crowd = r.Crowd
+		t.found = map[string]control.Found{"warm": control.FoundWarm, "began": control.BeganLoad, "awaited": control.AwaitedLoad}[r.Found]
+		t.lost = r.Reset || r.Cut
+	case standin.TurnFull:
+		if t.result = control.Full; r.Found == "failed" {
+			t.found = control.LoadFailed
+		}
+	case standin.TurnMiss:
+		t.result = control.Missed
+	case standin.Broke:
+		t.result = control.Errored
+	}
+	s.message(func() { f.end(t) })
+}
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -145,7 +145,7 @@
 	} {
 		t.Run(c.wrong, func(t *testing.T) {
 			t.Parallel()
-			day, err := ParseDay("wrong", []byte(fmt.Sprintf(wrongDay, i+1)))
+			day, err := ParseDay("wrong", []byte(fmt.Sprintf(wrongDay, i+1)), Sockets)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -30,6 +30,19 @@
 	Why        string  `json:"why,omitempty"`
 }
 
+// Of fills in what the request itself tells.
+func (rec *Record) Of(r *Req) {
+	rec.Model, rec.Group, rec.Key, rec.Found, rec.Ran = r.Model, r.Group, r.Key, r.Found, r.RanAt > 0
+	switch r.Verdict {
+	case TurnFull:
+		rec.Why = "full"
+	case TurnMiss:
+		rec.Why = "miss"
+	case Broke:
+		rec.Why = "error"
+	}
+}
+
 // Server plays a fleet on one loop: a listener for each worker, and one for faults.
 type Server struct {
 	Loop    *loop.Loop
@@ -121,18 +134,10 @@
 	}
 	rec := Record{T: s.epoch + now, Worker: w, Event: event}
 	if r != nil {
-		rec.Model, rec.Group, rec.Key, rec.Found, rec.Ran = r.Model, r.Group, r.Key, r.Found, r.RanAt > 0
+		rec.Of(r)
 		if c, ok := r.Owner.(*call); ok {
 			rec.Inference, rec.Forward, rec.Dispatcher = c.inference, c.forward, c.dispatcher
 		}
-		switch r.Verdict {
-		case TurnFull:
-			rec.Why = "full"
-		case TurnMiss:
-			rec.Why = "miss"
-		case Broke:
-			rec.Why = "error"
-		}
 	}
 	s.encoder.Encode(rec)
 }
