Decisions: what was sent after a worker's start is not lost with the process before

A worker's new start is often heard by an answer of the new process itself. Now a forward is lost only if it was sent before the start heard of; one sent after it also shows a warm copy there.

--- a/control/control.go
+++ b/control/control.go
@@ -438,7 +438,7 @@
 func (d *Dispatcher) send(r *inference, pl *place) {
 	w, m := pl.worker, r.model
 	f := &r.forwards[r.n]
-	*f = forward{to: w, start: w.Start, sent: d.now, run: m.run, group: pl.group, expect: w.work + m.run}
+	*f = forward{to: w, sent: d.now, run: m.run, group: pl.group, expect: w.work + m.run}
 	if pl.warm < d.now {
 		f.load, f.expect = true, f.expect+m.load+w.loads
 		w.cold++
@@ -503,7 +503,7 @@
 		d.learn(r, f, o)
 		d.judge(&w.health, true)
 		d.judge(side, true)
-		if f.start == w.Start {
+		if f.sent > w.Start {
 			pl.warm = d.now + d.told.keep
 		}
 		d.settled(pl)
@@ -687,7 +687,7 @@
 // late answers silence: a worker that answered none like it since a forward far past its expected time, or is
 // gone or new, has failed it, and a second copy goes out where allowed; else the inference is just heavy.
 func (d *Dispatcher) late(r *inference, f *forward) {
-	lost := f.to.State == Gone || f.to.Start != f.start
+	lost := f.to.State == Gone || f.sent <= f.to.Start
 	if !lost && (f.to.sides[r.side].at > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.group.slo/2)) {
 		return
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -20,7 +20,6 @@
 // forward is one sending of an inference to a worker.
 type forward struct {
 	to     *worker
-	start  Seconds // the worker's start as known when sent
 	sent   Seconds
 	expect Seconds // answer time expected when sent
 	run    Seconds // what the ledger counts for it
