--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -185,6 +185,20 @@
 		guards = append(guards, fmt.Sprintf("%s %.0f", k, v))
 	}
 	sort.Strings(guards)
-	fmt.Fprintf(out, "service %.3f; found warm %.3f of %d served (second half %.3f); %d forwards, %d turned away, %d repeats dropped, %d orders, %d loads; guards: %s; exits %v\n",
-		rep.Service, rep.Warm, rep.Served, rep.WarmLate, rep.Forwards, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), rep.Exits)
+	fmt.Fprintf(out, "service %.3f; found warm %.3f of %d served (second half %.3f); %d forwards, %d turned away, %d repeats dropped, %d orders, %d loads; guards: %s; exits: %s\n",
+		rep.Service, rep.Warm, rep.Served, rep.WarmLate, rep.Forwards, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), exits(rep.Exits))
+}
+
+// exits tells how many dispatchers ended with each exit code.
+func exits(codes []int) string {
+	n := map[int]int{}
+	for _, c := range codes {
+		n[c]++
+	}
+	var out []string
+	for c, n := range n {
+		out = append(out, fmt.Sprintf("%d of code %d", n, c))
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
 }
--- a/internal/lab/simhost.go
+++ b/internal/lab/simhost.go
@@ -199,15 +199,19 @@
 	}
 }
 
-// hear takes the admin interface's word on a worker.
-func (h *simHost) hear(worker, state string) {
+// hear takes the admin interface's word on workers.
+func (h *simHost) hear(list []word) {
 	if h.module == nil {
 		return
 	}
-	st := map[string]control.WorkerState{"ready": control.Ready, "draining": control.Draining, "gone": control.Gone}[state]
-	changed, _ := h.roster.Rule(roster.Entry{Name: worker, State: st}, h.s.now-h.origin)
-	h.s.e.Words = append(h.s.e.Words, Word{h.name, worker, state, simEpoch + h.s.now})
-	h.changes(changed)
+	var all []*roster.Worker
+	for _, w := range list {
+		st := map[string]control.WorkerState{"ready": control.Ready, "draining": control.Draining, "gone": control.Gone}[w.state]
+		changed, _ := h.roster.Rule(roster.Entry{Name: w.worker, State: st}, h.s.now-h.origin)
+		h.s.e.Words = append(h.s.e.Words, Word{h.name, w.worker, w.state, simEpoch + h.s.now})
+		all = append(all, changed...)
+	}
+	h.changes(all)
 }
 
 // take takes an inference in.
--- a/internal/lab/simulated.go
+++ b/internal/lab/simulated.go
@@ -269,19 +269,27 @@
 				}
 				h.up()
 				s.e.Downs = append(s.e.Downs, Down{h.name, from, simEpoch + s.now})
+				var list []word
 				for _, w := range s.spec.Workers {
 					if state := s.says[w.Name]; state != "" && state != "ready" {
-						h.hear(w.Name, state)
+						list = append(list, word{s.now, w.Name, state})
 					}
 				}
+				h.hear(list)
 			})
 		})
 	}
+	words := map[float64][]word{} // those of a moment are heard as one list
 	for _, w := range s.day.words() {
+		if words[w.at] = append(words[w.at], w); len(words[w.at]) > 1 {
+			continue
+		}
 		s.at(w.at, func() {
-			s.says[w.worker] = w.state
+			for _, w := range words[w.at] {
+				s.says[w.worker] = w.state
+			}
 			for _, h := range s.hosts {
-				h.hear(w.worker, w.state)
+				h.hear(words[w.at])
 			}
 		})
 	}
