A returning worker is asked for its start before the decisions take it for ready

A worker that drains, restarts and is listed ready again was taken by each dispatcher for the warm process it had known, until that dispatcher's own first answer from it. The pure half is in roster; gateway and simulated host share it.

--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -125,6 +125,7 @@
 	JSON      bool   `name:"json" help:"Print the report as JSON."`
 	Keep      string `help:"Keep settings, logs and records in this directory."`
 	Seed      uint64 `help:"Play it with another seed."`
+	Timeline  bool   `help:"Print what happened in each twentieth of the day."`
 	Simulated bool   `help:"Play it in simulated time in this process: the same bytes for the same seed."`
 }
 
@@ -172,6 +173,9 @@
 			e.Encode(rep)
 		} else {
 			rep.Write(os.Stdout)
+			if c.Timeline {
+				rep.WriteTimeline(os.Stdout)
+			}
 		}
 	}
 	if err != nil {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -86,6 +86,7 @@
 		g.Loop.Start(&f.timer, timeout)
 	}
 	f.head = g.requestHead(f.head[:0], q, f)
+	w.Sent()
 	w.pool.Do(&f.call, f.head, q.x.Body)
 }
 
@@ -483,7 +484,7 @@
 		}
 	case orderHello:
 		o.w.hello = nil
-		g.introduce(o.w)
+		g.greeted(o.w, r == control.Returned)
 	}
 	g.Loop.Later(func() { g.orders = append(g.orders, o) })
 }
@@ -531,27 +532,47 @@
 			}
 			l := g.cfg.Limits
 			w.pool = h1.NewPool(g.Loop, r.Addr, h1.PoolOptions{Conns: l.WorkerConnections, Idle: l.WorkerIdle,
-				IdleTimeout: l.WorkerIdleTimeout.Seconds, ConnectTimeout: l.ConnectTimeout.Seconds})
+				IdleTimeout: l.WorkerIdleTimeout.Seconds, ConnectTimeout: l.ConnectTimeout.Seconds,
+				Lost: func() {
+					if w.Lost() {
+						g.greet(w)
+					}
+				}})
 		}
 		g.log.Info().Str("worker", r.Name).Str("address", r.Addr.String()).Str("state", r.StateName()).
 			Uint32("version", r.Version).Stringer("from", r.From).Msg("worker listed")
 		if r.State != control.Ready {
 			w.pool.Abandon() // what waits for a connection there must not be sent now
 		}
-		switch {
-		case w.told:
+		if w.told {
 			tell = append(tell, w)
-		case r.State == control.Ready && w.hello == nil:
-			w.hello = g.getOrder(orderHello, w, 0)
-			w.hello.send("GET", "/v2/load", "", helloSpan)
+		}
+		if r.State == control.Ready && (!w.told || r.Held()) {
+			g.greet(w)
 		}
 	}
 	g.tellWorkers(tell)
 }
 
-// introduce tells the decisions of a worker once its start is known, or could not be learned.
-func (g *Gateway) introduce(w *worker) {
-	if !w.told {
+// greet asks a worker for its start.
+func (g *Gateway) greet(w *worker) {
+	if w.hello == nil && w.State == control.Ready {
+		w.Ask()
+		w.hello = g.getOrder(orderHello, w, 0)
+		w.hello.send("GET", "/v2/load", "", helloSpan)
+	}
+}
+
+// greeted tells the decisions of a worker once its start is known, or could not be learned; what did not answer is
+// asked again.
+func (g *Gateway) greeted(w *worker, ok bool) {
+	if again := w.Answered(ok, g.rnd.Float64()); again > 0 && w.State == control.Ready {
+		if w.again.Fire == nil {
+			w.again.Fire = func() { g.greet(w) }
+		}
+		g.Loop.Start(&w.again, again)
+	}
+	if held := g.Roster.Greeted(w.Worker); !w.told || held {
 		w.told = true
 		g.tellWorkers([]*worker{w})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"runtime/debug"
 	"strconv"
@@ -76,6 +77,7 @@
 	scratch    []byte
 	wakes      map[control.TimerID]*loop.Timer
 	exit       *Exit
+	rnd        *rand.Rand // spreads what dispatchers would else do in step
 }
 
 // Exit tells how a gateway ended.
@@ -106,6 +108,7 @@
 	pool  *h1.Pool
 	told  bool // the decisions have been told of it
 	hello *order
+	again loop.Timer // asks it once more for its start
 	meter workerMeter
 }
 
@@ -142,6 +145,7 @@
 	if seed == 0 {
 		seed = uint64(time.Now().UnixNano())
 	}
+	g.rnd = rand.New(rand.NewPCG(seed, 5))
 	l.OnTurn = g.turn
 	l.Later(func() {
 		g.begin()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -278,16 +278,52 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nMastchute-Start: %.3f\r\nMastchute-Found: began\r\nContent-Length: 0\r\n\r\n", now)
 	})
 	r := newRig(t, "", nil, w)
+	r.expect("read-2", 200, "returned")
 	r.expect("read-1", 200, "returned")
-	r.expect("read-1", 200, "returned")
-	r.on(func() {
+	r.on(func() { // what the process before held is forgotten, what the new one answered is not
 		v := r.g.Status().Workers[0]
-		if v.Age == nil || *v.Age > 60 || len(v.Warm) != 0 {
+		if v.Age == nil || *v.Age > 60 || fmt.Sprint(v.Warm) != "[read-1]" {
 			t.Errorf("%+v", v)
 		}
 	})
 }
 
+// A worker that is ready again, or whose connections were lost, is asked for its start before anything is sent to it on
+// the word of the process before; until it answers it stays draining for the decisions, and is asked again.
+func TestReturningWorkerIsGreeted(t *testing.T) {
+	for _, how := range []string{"ready again", "connections lost"} {
+		w := newWorker(t, "w1", fine)
+		r := newRig(t, "", nil, w)
+		r.expect("read-1", 200, "returned")
+		asked := make(chan net.Conn, 10)
+		w.mu.Lock()
+		w.greet = func(c net.Conn, _ *http.Request) { asked <- c }
+		w.mu.Unlock()
+		if how == "ready again" {
+			for _, s := range []control.WorkerState{control.Draining, control.Ready} {
+				r.on(func() { r.g.Rule(roster.Entry{Name: "w1", State: s}) })
+			}
+		} else {
+			w.mu.Lock()
+			for _, c := range w.open {
+				c.Close()
+			}
+			w.mu.Unlock()
+		}
+		c := <-asked
+		r.on(func() {
+			if l := r.g.Roster.Named("w1").Line(); how == "ready again" && l.State != control.Draining {
+				t.Errorf("%s: told as %+v before it answered", how, l)
+			}
+		})
+		c.Close() // no answer: it is asked again
+		c = <-asked
+		reply(200, "", "")(c, nil)
+		r.until(how+": it is ready", func() bool { return r.g.Roster.Named("w1").Line().State == control.Ready })
+		r.expect("read-1", 200, "returned")
+	}
+}
+
 // Long answers go through as they come, whole, and hold no more memory than allowed while the client reads slowly.
 func TestLongAnswersStream(t *testing.T) {
 	big := bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -39,13 +39,14 @@
 
 // scripted is a worker that follows a script; the last act repeats.
 type scripted struct {
-	name string
-	ln   net.Listener
-	mu   sync.Mutex
-	acts []act
-	got  []seen
-	open []net.Conn
-	gone int // connections that ended
+	name  string
+	ln    net.Listener
+	mu    sync.Mutex
+	acts  []act
+	got   []seen
+	open  []net.Conn
+	gone  int // connections that ended
+	greet act // what it does when it is asked for its start and load
 }
 
 func reply(status int, headers, body string) act {
@@ -109,7 +110,13 @@
 		}
 		body, _ := io.ReadAll(q.Body)
 		if q.URL.Path == "/v2/load" {
-			reply(200, "", "")(c, q)
+			s.mu.Lock()
+			greet := s.greet
+			s.mu.Unlock()
+			if greet == nil {
+				greet = reply(200, "", "")
+			}
+			greet(c, q)
 			continue
 		}
 		s.mu.Lock()
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -22,6 +22,7 @@
 	Idle           int     // idle ones kept; default 64
 	IdleTimeout    float64 // s an idle one is kept; default 15
 	ConnectTimeout float64 // s for a connection to come up; default 0.25
+	Lost           func()  // a connection that was up ended from the peer's side, unasked; may be nil
 }
 
 // Caller hears how a call goes. Its methods run on the loop.
@@ -238,6 +239,7 @@
 	body   http1.Body
 	timer  loop.Timer
 	headed bool
+	used   bool // it has carried a call
 }
 
 func (c *clientConn) expire() {
@@ -257,7 +259,7 @@
 }
 
 func (c *clientConn) send(call *Call) {
-	c.call, call.conn, c.headed = call, c, false
+	c.call, call.conn, c.headed, c.used = call, c, false, true
 	call.from, call.Peek = c.conn.Queued(), c.pool.Loop.Now()
 	c.conn.Write(call.head)
 	c.more()
@@ -301,6 +303,9 @@
 				break
 			}
 		}
+		if c.pool.opt.Lost != nil && c.used {
+			c.pool.opt.Lost()
+		}
 		return
 	}
 	if err == io.EOF && c.headed && c.body.ToEnd() {
@@ -311,7 +316,11 @@
 	call := c.call
 	c.call = nil
 	c.leave(call)
+	wrote := call.wrote
 	call.Caller.End(err)
+	if err != nil && wrote && c.pool.opt.Lost != nil {
+		c.pool.opt.Lost()
+	}
 	c.pool.next(nil)
 }
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -31,6 +31,7 @@
 	Repeats  int                `json:"repeats"` // dropped by workers
 	Guards   map[string]float64 `json:"guards"`
 	Exits    []int              `json:"exits"`
+	Slices   []Slice            `json:"timeline"`
 }
 
 // GroupReport is one model group's.
@@ -48,8 +49,16 @@
 	P99     float64 `json:"p99_s"`
 }
 
+// newHistograms makes histograms of times in us, up to an hour.
+func newHistograms(n int) (out []*hdrhistogram.Histogram) {
+	for range n {
+		out = append(out, hdrhistogram.New(1, 3_600_000_000, 3))
+	}
+	return out
+}
+
 func (rep *Report) fill(day *Day, e *Evidence) {
-	rep.Day, rep.Findings = day.Name, Judge(e)
+	rep.Day, rep.Findings, rep.Slices = day.Name, Judge(e), timeline(day, e)
 	type callOf struct {
 		group    string
 		first    float64
@@ -58,8 +67,9 @@
 	calls := map[string]*callOf{}
 	by := map[string]*GroupReport{}
 	hist := map[string]*hdrhistogram.Histogram{}
-	for _, g := range day.Settings.Groups {
-		by[g.Name], hist[g.Name] = &GroupReport{Name: g.Name}, hdrhistogram.New(1, 3_600_000_000, 3)
+	for i, h := range newHistograms(len(day.Settings.Groups)) {
+		name := day.Settings.Groups[i].Name
+		by[name], hist[name] = &GroupReport{Name: name}, h
 	}
 	for _, t := range e.Tries {
 		g := by[t.Group]
--- a/internal/lab/simhost.go
+++ b/internal/lab/simhost.go
@@ -32,6 +32,7 @@
 	settling bool
 	told     bool // Subscribe is on
 	wakes    map[control.TimerID]int
+	sentAt   []float64 // to each worker, the last time: its connection is kept for a while
 }
 
 type simModel struct {
@@ -117,6 +118,10 @@
 	h.life++
 	h.origin, h.roster, h.hand, h.order = s.now, roster.New(config.WorkerID), map[control.InferenceID]*simInference{}, nil
 	h.wakes, h.open, h.settling, h.told = map[control.TimerID]int{}, 0, false, false
+	h.sentAt = make([]float64, len(s.spec.Workers))
+	for i := range h.sentAt {
+		h.sentAt[i] = math.Inf(-1)
+	}
 	seed := s.day.Seed*1000 + uint64(h.i) + 1
 	cfg := s.day.Settings
 	cfg.Name = h.name
@@ -212,6 +217,56 @@
 		all = append(all, changed...)
 	}
 	h.changes(all)
+	for _, w := range all {
+		if w.Held() {
+			h.greet(w)
+		}
+	}
+}
+
+// ask asks a worker for its start and load.
+func (h *simHost) ask(i int, answer func(t *told)) {
+	s, life := h.s, h.life
+	s.message(func() {
+		t := &told{result: control.ConnectFailed}
+		if s.fleet.Up(i) {
+			t = s.tells(i)
+		}
+		s.message(func() {
+			if h.life == life && h.module != nil {
+				h.heard(i, t)
+				answer(t)
+			}
+		})
+	})
+}
+
+// greet asks a worker for its start, as gateway does.
+func (h *simHost) greet(w *roster.Worker) {
+	if w.State != control.Ready {
+		return
+	}
+	w.Ask()
+	h.ask(h.s.worker(w.Name), func(t *told) {
+		if again := w.Answered(t.result == control.Returned, h.s.rnd.Float64()); again > 0 {
+			life := h.life
+			h.s.after(again, func() {
+				if h.life == life {
+					h.greet(w)
+				}
+			})
+		}
+		if h.roster.Greeted(w) {
+			h.changes([]*roster.Worker{w})
+		}
+	})
+}
+
+// lost: the connections to a worker ended.
+func (h *simHost) lost(i int) {
+	if w := h.roster.Named(h.s.spec.Workers[i].Name); h.module != nil && w.Lost() {
+		h.greet(w)
+	}
 }
 
 // take takes an inference in.
@@ -334,6 +389,8 @@
 		h.ended(f, &told{result: control.Moot, crowd: -1})
 		return
 	}
+	w.Sent()
+	h.sentAt[f.w] = s.now
 	if timeout > 0 {
 		life := h.life
 		s.after(timeout, func() {
@@ -424,19 +481,10 @@
 	if w == nil {
 		return
 	}
-	i, made, life := s.worker(w.Name), s.now, h.life
-	s.message(func() {
-		t := &told{result: control.ConnectFailed}
-		if s.fleet.Up(i) {
-			t = s.tells(i)
-		}
-		s.message(func() {
-			if h.life == life {
-				h.heard(i, t)
-				h.event(func() {
-					h.module.Probed(control.ProbeResult{Worker: wid, Result: t.result, Took: s.now - made, Report: t.report})
-				})
-			}
+	made := s.now
+	h.ask(s.worker(w.Name), func(t *told) {
+		h.event(func() {
+			h.module.Probed(control.ProbeResult{Worker: wid, Result: t.result, Took: s.now - made, Report: t.report})
 		})
 	})
 }
--- a/internal/lab/simulated.go
+++ b/internal/lab/simulated.go
@@ -170,6 +170,11 @@
 			s.message(func() { f.end(&told{lost: true}) })
 		}
 	}
+	for _, h := range s.hosts {
+		if h.module != nil && s.now-h.sentAt[i] < s.day.Settings.Limits.WorkerIdleTimeout.Seconds {
+			s.message(func() { h.lost(i) })
+		}
+	}
 }
 
 // arrive has the calls of the day come in, one after the other.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -47,6 +47,8 @@
 	From    Source  // the source whose word holds
 	Listed  bool    // some source names it still
 
+	Greeting
+	held    bool // ready again by the list, but not greeted since
 	said    [sources]Entry
 	named   [sources]bool
 	ruled   bool // the admin interface has spoken of its state
@@ -176,6 +178,7 @@
 	var changed []*Worker
 	for _, w := range r.order {
 		was, listed := w.current, w.Listed
+		known := w.Version > 0
 		w.Listed = false
 		state := control.Ready
 		addr := w.Addr
@@ -197,6 +200,7 @@
 			state, w.From = w.ruling, Admin
 		}
 		w.State = state
+		w.held = state == control.Ready && (w.held || known && was.State != control.Ready)
 		if w.current = r.info(w); w.current != was || w.Listed != listed || addr != w.Addr {
 			changed = append(changed, w)
 		}
@@ -225,8 +229,68 @@
 		Cell: control.CellID(r.cells.of(w.Cell)), State: w.State, Weight: w.Weight, Start: w.Start}
 }
 
-// Line is what the decisions are told of a worker.
-func (w *Worker) Line() control.WorkerInfo { return w.current }
+// Line is what the decisions are told of a worker. One that is ready again stays draining for them until it was
+// greeted: what drained is often a process that ended, and each dispatcher would take the new one for the old, warm.
+func (w *Worker) Line() control.WorkerInfo {
+	l := w.current
+	if w.held {
+		l.State = control.Draining
+	}
+	return l
+}
+
+// Held tells whether a worker is ready again and has yet to be greeted.
+func (w *Worker) Held() bool { return w.held }
+
+// Greeted notes that a worker was asked for its start, whether it answered or not, and tells whether its line changed.
+func (r *Roster) Greeted(w *Worker) bool {
+	was := w.held
+	w.held = false
+	return was
+}
+
+// Greeting decides when a worker is asked anew for its start: after connections were lost, which mostly means that its
+// process ended, and again until it answers. It asks at most once for what was sent since it asked last, so that
+// workers which close idle connections are not asked for ever.
+type Greeting struct {
+	asking bool
+	sent   bool // something was sent since it was asked last
+	gap    float64
+}
+
+const (
+	greetFirst = 0.1 // s after a greeting without an answer until the next: a restart takes longer
+	greetMost  = 2.0 // s, the most between two: cold workers warm up over seconds
+)
+
+// Sent notes that a forward or an order goes out.
+func (g *Greeting) Sent() { g.sent = true }
+
+// Lost notes that a connection ended from the worker's side, and tells whether to ask it now.
+func (g *Greeting) Lost() bool {
+	ask := g.sent && !g.asking
+	if ask {
+		g.Ask()
+	}
+	return ask
+}
+
+// Ask notes that it is being asked.
+func (g *Greeting) Ask() { g.asking, g.sent = true, false }
+
+// Asking tells whether an answer, or the next time to ask, is awaited.
+func (g *Greeting) Asking() bool { return g.asking }
+
+// Answered notes how a greeting ended. Where it had no answer it tells in how many seconds to ask again; chance is
+// 0 to 1, so that dispatchers do not ask in step.
+func (g *Greeting) Answered(ok bool, chance float64) (again float64) {
+	if ok {
+		g.asking, g.gap = false, 0
+		return 0
+	}
+	g.gap = math.Min(greetMost, math.Max(greetFirst, 2*g.gap))
+	return g.gap * (0.5 + chance)
+}
 
 // StateName is the state as operators read and write it.
 func (w *Worker) StateName() string { return [...]string{"gone", "ready", "draining"}[w.State] }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -49,6 +49,9 @@
 	}
 	c, err = r.Replace(File, []Entry{entry("c", control.Ready)}, 4) // the file takes a's drain back; c stays ruled
 	say("a", c, err)
+	if w := r.Named("a"); !w.Held() || w.Line().State != control.Draining || !r.Greeted(w) || r.Greeted(w) {
+		t.Errorf("ready again, and not to be greeted first: %+v", w)
+	}
 	is("a", control.Ready, Config)
 	is("c", control.Gone, Admin)
 	c, err = r.Rule(entry("c", control.Ready), 5)
@@ -146,3 +149,28 @@
 		}
 	}
 }
+
+func TestGreetingIsRepeatedUntilAnswered(t *testing.T) {
+	var g Greeting
+	if g.Lost() {
+		t.Error("asked a worker that was sent nothing")
+	}
+	g.Sent()
+	if !g.Lost() || g.Lost() || !g.Asking() {
+		t.Error("a loss asks once, until the answer")
+	}
+	sum, last := 0.0, 0.0
+	for range 8 {
+		last = g.Answered(false, 0.5)
+		sum += last
+	}
+	if last != greetMost || sum > 8*greetMost || g.Answered(false, 0) != greetMost/2 {
+		t.Errorf("waits of %g in all, the last %g", sum, last)
+	}
+	if g.Answered(true, 0.5) != 0 || g.Lost() {
+		t.Error("answered, and asked again without anything sent")
+	}
+	if g.Sent(); !g.Lost() || g.Answered(false, 0.5) != greetFirst {
+		t.Error("a new loss begins anew")
+	}
+}
