Decisions: sparse traffic uses cold workers by a share of what would choose them

In a release with many dispatchers, cold workers were hardly used: a dispatcher's turn at one came every 16 s and lapsed after 1 s, in which it had something for it one time in six. Where own traffic is sparse, an inference that would choose a cold worker now goes there by chance, at our share of the budget, less often where few workers are left to choose, and each dispatcher is spaced at its share of the whole budget. Turns stay where traffic is dense: a hot home needs them.

--- a/control/control.go
+++ b/control/control.go
@@ -65,7 +65,7 @@
 		window: s.Num("models.load_window", 0), few: s.Num("models.load_few", 0),
 		share: s.Num("models.load_share", 0)}
 	d.known, d.hand.byID = map[WorkerID]*worker{}, map[InferenceID]int{}
-	d.further, d.furtherOK = furtherMost, 1
+	d.further, d.furtherOK, d.choice = furtherMost, 1, 1
 	d.fellows, d.run = math.Max(1, s.Num("dispatchers", 1)), firstRun
 	for i := range int(s.Num("load_report.fields", 0)) {
 		if f := s.Text("load_report.fields." + strconv.Itoa(i)); f == "inflight" || f == "queue" {
@@ -207,13 +207,19 @@
 	return 1
 }
 
-// open tells whether a worker takes a forward now: a cold one in turn (rule 4: turns by chance, at our share
-// of the budget), one set aside as a trickle; where most look bad the cause is shared, and none counts so.
+// open tells whether a worker takes a forward now: a cold one within our share of its budget (rule 4), one set
+// aside as a trickle; where most look bad the cause is shared, and none counts so.
 func (d *Dispatcher) open(r *inference, w *worker) bool {
-	if c, fall := d.warmth(w), d.told.fall; c < 1 {
-		if d.now > w.coldAt+fall { // a turn not used in time lapses: all fellows' unused turns add up
-			seen := d.taken() / math.Max(1, float64(d.ready))
-			share := math.Max(1/(fall*d.fellows), coldSafety*d.told.overload*c*seen)
+	if c, fall := d.warmth(w), d.told.fall; c < 1 && d.sparse {
+		// A turn would lapse unused: own inferences that would choose it come too rarely. So each of them goes
+		// there by chance, less often when few workers are left to choose. It harms if one model is most traffic.
+		share := coldSafety * d.told.overload * c * d.choice
+		if d.now < w.coldAt || mix(uint64(r.id)<<32^uint64(w.ID)) > uint64(share*(1<<53))<<11 {
+			return false
+		}
+	} else if c < 1 {
+		if d.now > w.coldAt+fall { // a turn by chance; unused in time it lapses: all fellows' turns add up
+			share := math.Max(1/(fall*d.fellows), coldSafety*d.told.overload*c*d.seen())
 			w.coldAt = d.now + 2*d.rnd.share()/share
 		}
 		if d.now < w.coldAt {
@@ -230,7 +236,9 @@
 }
 
 func (d *Dispatcher) spend(r *inference, w *worker) {
-	w.coldAt = math.Inf(-1)
+	if w.coldAt = math.Inf(-1); d.sparse && d.warmth(w) < 1 { // at our share of the whole budget, at most
+		w.coldAt = d.now + 2*d.rnd.share()/(d.told.overload*d.warmth(w)*d.seen())
+	}
 	for _, h := range [2]*health{&w.health, &w.sides[r.side]} {
 		if h.aside {
 			h.next = d.now + (0.5+d.rnd.share())/h.rate // not in step with fellow dispatchers
@@ -361,12 +369,16 @@
 	return d.rate
 }
 
+// seen is how many of those come for each worker.
+func (d *Dispatcher) seen() float64 { return d.taken() / math.Max(1, float64(d.ready)) }
+
 // least returns the place with least queued work, load included where no warm copy is believed. Costs too
 // near to tell apart are ties; they go by a hash of model and worker that all dispatchers share: so they
 // agree unasked on where a model lives, and return to where a copy or an image may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low, resting := r.model, math.Inf(1), false
 	d.top, r.hopeless = d.top[:0], false
+	choice := 0.0
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
 		if !d.may(r, w) {
@@ -378,6 +390,7 @@
 			resting, r.hopeless = resting || !open, r.hopeless || late
 			continue
 		}
+		choice++
 		w.cost = (queue + m.run) / d.warmth(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
 		w.cost += max(w.bad, w.sides[r.side].bad) * (m.load + r.group.slo)
@@ -387,6 +400,7 @@
 		w.rank = mix(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID))
 		d.top = append(d.top, w)
 	}
+	d.choice = math.Min(1, math.Max(choice, 1)/math.Max(1, float64(d.ready)))
 	if d.sparse {
 		d.top = first(d.top, max(m.homes, probeHomes))
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -338,6 +338,7 @@
 	counts     []int     // which values of a report tell inferences held
 
 	easedFrom, easedTo, eased float64 // how far means are eased from one time to another
+	choice                    float64 // share of the workers that the last inference looked at could go to
 
 	rate, rateAt, rateOf float64 // inferences taken a second, as of when and for which count
 
