Decisions: one past its SLO time gives way to a younger one that could be in time

In an overload what had waited past its SLO time was queued like the rest, came late, and kept those out that could have been in time.

--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,7 @@
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
 	widthAll     = 12.0 // forwards of all dispatchers out at a worker: 8 lost with few of them, 16 at two sites
 	widthLeast   = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
+	giveWay      = 0.25 // of the SLO time: how much younger one held must be for an older one to give way to it
 	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
 	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
 	tieBand      = 1.0  // load times: costs nearer are ties; 0.5 lost at all sites, 1.5 at one
@@ -207,8 +208,8 @@
 	return 1
 }
 
-// open tells whether a worker takes a forward now: a cold one within our share of its budget (rule 4), one set
-// aside as a trickle; where most look bad the cause is shared, and none counts so.
+// open tells whether a worker takes a forward now: a cold one within our share of its budget (rule 4), one
+// set aside as a trickle; where most look bad the cause is shared, and none counts so.
 func (d *Dispatcher) open(r *inference, w *worker) bool {
 	if c, fall := d.warmth(w), d.told.fall; c < 1 && d.sparse {
 		// A turn would lapse unused: own inferences that would choose it come too rarely. So each of them goes
@@ -378,6 +379,11 @@
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low, resting := r.model, math.Inf(1), false
 	d.top, r.hopeless = d.top[:0], false
+	aim, timely := r.taken+r.group.slo, false
+	until := r.notAfter
+	if d.timely > math.Max(r.taken+giveWay*r.group.slo, d.now-r.group.slo) {
+		until = math.Min(until, aim) // a younger one that is held could be in time: late answers feed an overload
+	}
 	choice := 0.0
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
@@ -385,7 +391,9 @@
 			continue
 		}
 		queue := d.queue(w)
-		late := d.now+queue/atOnce+min(m.run, r.group.slo)/2 > r.notAfter // the wait outlasts the client
+		end := d.now + queue/atOnce + min(m.run, r.group.slo)/2
+		timely = timely || end <= aim
+		late := end > until // the wait outlasts the client
 		if open := d.open(r, w); !open || late {
 			resting, r.hopeless = resting || !open, r.hopeless || late
 			continue
@@ -443,6 +451,9 @@
 		}
 	}
 	if r.hopeless = r.hopeless && best == nil && !resting; best == nil || !d.room(r, best) {
+		if timely {
+			d.timely = math.Max(d.timely, r.taken)
+		}
 		return nil
 	}
 	return m.at(best)
--- a/control/state.go
+++ b/control/state.go
@@ -331,6 +331,7 @@
 	waked      bool
 	sparse     bool      // own traffic is too thin for own ledgers to tell of the workers
 	changed    bool      // something was heard since those held for room were tried
+	timely     Seconds   // when the youngest was taken that was held for room and could have been in time
 	retried    Seconds   // when they were
 	top        []*worker // homes of the model in hand, first in order first
 	looks      uint64    // looks for a place so far
