--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -22,11 +22,17 @@
 )
 
 type labCmd struct {
-	Day   labDayCmd   `cmd:"" help:"Play a day over sockets in real processes and judge the five rules."`
-	Bench labBenchCmd `cmd:"" help:"Measure the gateway beside a bare relay and net/http's ReverseProxy."`
-	Echo  labEchoCmd  `cmd:"" hidden:""`
-	Relay labRelayCmd `cmd:"" hidden:""`
-	Proxy labProxyCmd `cmd:"" hidden:""`
+	Day     labDayCmd     `cmd:"" help:"Play a day over sockets in real processes and judge the five rules."`
+	Sweep   labSweepCmd   `cmd:"" help:"Play a day with several values of some of its keys, in simulated time, the same seeds each."`
+	Compare labCompareCmd `cmd:"" help:"Compare days, or the same day under several settings, in simulated time."`
+	Draw    labDrawCmd    `cmd:"" help:"Draw a day by chance."`
+	Hunt    labHuntCmd    `cmd:"" help:"Search drawn days for the worst service and for broken rules, and shrink them to what matters."`
+	Convert labConvertCmd `cmd:"" help:"Turn a day of the bench into one of ours, as far as it can be."`
+	Report  labReportCmd  `cmd:"" help:"Make a page with plots of one report or of several side by side."`
+	Bench   labBenchCmd   `cmd:"" help:"Measure the gateway beside a bare relay and net/http's ReverseProxy."`
+	Echo    labEchoCmd    `cmd:"" hidden:""`
+	Relay   labRelayCmd   `cmd:"" hidden:""`
+	Proxy   labProxyCmd   `cmd:"" hidden:""`
 }
 
 type labBenchCmd struct {
@@ -125,6 +131,7 @@
 	JSON      bool   `name:"json" help:"Print the report as JSON."`
 	Keep      string `help:"Keep settings, logs and records in this directory."`
 	Seed      uint64 `help:"Play it with another seed."`
+	Page      string `help:"Write the report with plots as one HTML page to this file."`
 	Timeline  bool   `help:"Print what happened in each twentieth of the day."`
 	Simulated bool   `help:"Play it in simulated time in this process: the same bytes for the same seed."`
 }
@@ -167,6 +174,9 @@
 		if c.Keep != "" {
 			err = errors.Join(err, jsonLines(c.Keep+"/tries.jsonl", evidence.Tries))
 		}
+		if c.Page != "" {
+			err = errors.Join(err, page(c.Page, []*lab.Report{rep}))
+		}
 		if c.JSON {
 			e := json.NewEncoder(os.Stdout)
 			e.SetIndent("", "  ")
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -32,6 +32,7 @@
 	Size        float64         `yaml:"size"`    // multiplies dispatchers, workers, models, load and store alike
 	Network     Network         `yaml:"network"` // in simulated time; over sockets it is what loopback is
 	Stale       []Span          `yaml:"stale"`   // the list of workers is stuck: drains are heard at its end only
+	released    int             // drains and troubles, at the end of their lists, that a release came to
 }
 
 // Fleet describes the stand-in workers.
@@ -344,6 +345,7 @@
 		}
 		d.Drains = append(d.Drains, Drain{config.S(at), config.S(x.Drain.Seconds + x.Down.Seconds), w, "draining"})
 		d.Troubles = append(d.Troubles, Trouble{At: config.S(at + x.Drain.Seconds), For: x.Down, Kind: "vanish", Worker: w})
+		d.released++
 	}
 }
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -32,6 +32,8 @@
 	Guards   map[string]float64 `json:"guards"`
 	Exits    []int              `json:"exits"`
 	Slices   []Slice            `json:"timeline"`
+	Marks    []Mark             `json:"troubles"`
+	Held     []Held             `json:"workers"`
 }
 
 // GroupReport is one model group's.
@@ -59,6 +61,7 @@
 
 func (rep *Report) fill(day *Day, e *Evidence) {
 	rep.Day, rep.Findings, rep.Slices = day.Name, Judge(e), timeline(day, e)
+	rep.Marks, rep.Held = day.marks(), held(day, e)
 	type callOf struct {
 		group    string
 		first    float64
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"math"
+	"sort"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -19,6 +21,8 @@
 	Forwards int     `json:"forwards"`
 	Turned   int     `json:"turned"`
 	Loads    int     `json:"loads"`
+	Orders   int     `json:"orders"`
+	Fetches  int     `json:"fetches"`      // of a model from the store
 	Used     int     `json:"workers_used"` // that ran something
 	Up       float64 `json:"workers_up"`   // mean
 	Running  float64 `json:"running"`      // mean inferences running at a time
@@ -157,6 +161,10 @@
 			over()
 		case "load":
 			s.Loads++
+		case "order":
+			s.Orders++
+		case "fetch":
+			s.Fetches++
 		case "vanish":
 			down[r.Worker] = r.T
 		case "start":
@@ -182,6 +190,51 @@
 	return out
 }
 
+// Held is what a worker did in a day, and what it held in the end.
+type Held struct {
+	Worker string `json:"worker"`
+	Served int    `json:"served"`
+	Loads  int    `json:"loads"`
+	Models string `json:"models"`
+}
+
+// held works out what each worker held in the end.
+func held(day *Day, e *Evidence) (out []Held) {
+	at, copies := map[string]int{}, map[string]map[string]int{}
+	for i, n := range day.workerNames() {
+		out, at[n], copies[n] = append(out, Held{Worker: n}), i, map[string]int{}
+	}
+	for _, r := range e.Records {
+		h, c := &out[at[r.Worker]], copies[r.Worker]
+		switch r.Event {
+		case "served":
+			h.Served++
+		case "load":
+			h.Loads++
+		case "loaded":
+			c[r.Model]++
+		case "unload":
+			c[r.Model]--
+		case "vanish":
+			clear(c)
+		}
+	}
+	for i := range out {
+		var list []string
+		for m, n := range copies[out[i].Worker] {
+			if n > 0 {
+				list = append(list, m)
+			}
+		}
+		sort.Strings(list)
+		if n := len(list); n > 12 {
+			list = append(list[:12], fmt.Sprintf("and %d more", n-12))
+		}
+		out[i].Models = strings.Join(list, ", ")
+	}
+	return out
+}
+
 // WriteTimeline prints the slices of a day.
 func (rep *Report) WriteTimeline(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -481,6 +481,7 @@
 		f.stale = true
 		f.Fetched++
 		c.loading = math.Max(1e-6, c.spec.Fetch)
+		f.log(w, "fetch", &Req{Model: c.name})
 	}
 	f.log(w, "load", &Req{Model: c.name})
 	return true
