--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -212,3 +213,81 @@
 	}
 	return page(c.Out, list)
 }
+
+type labLoadCmd struct {
+	URL       string   `arg:"" help:"Gateway, like http://127.0.0.1:8700."`
+	Model     []string `required:"" help:"Models, the first asked for most; NAME-1..20 stands for twenty."`
+	Rate      float64  `default:"100" help:"Inferences a second, open loop."`
+	For       float64  `default:"10" help:"Seconds."`
+	Zipf      float64  `default:"1" help:"How unequal the models' popularity is."`
+	Hot       float64  `help:"Share that asks for the first model besides."`
+	Shift     float64  `help:"Seconds after which popularity moves on by one model."`
+	Unseen    float64  `help:"Share that asks for models never asked for before."`
+	Burst     float64  `help:"Factor of the rate in bursts."`
+	BurstOf   float64  `default:"1" help:"Seconds of a burst, one in every ten times as long."`
+	Tenant    []string `help:"Tenants, by chance."`
+	Timeout   float64  `default:"3" help:"Seconds a client waits."`
+	Impatient float64  `help:"Share that leaves early once and asks again."`
+	Retries   int      `default:"1" help:"Further tries after a shed answer."`
+	Seed      uint64   `default:"1" help:"The same seed asks the same at the same times."`
+	Trace     string   `type:"existingfile" help:"Replay this trace, JSON lines of at, model, tenant, in place of a drawn load."`
+	JSON      bool     `name:"json" help:"Print JSON."`
+	CSV       string   `name:"csv" help:"Write the distribution of latencies to this file."`
+}
+
+func (c *labLoadCmd) Run() error {
+	ctx, stop := interrupted()
+	defer stop()
+	o := lab.LoadOptions{URL: strings.TrimRight(c.URL, "/"), Zipf: c.Zipf, Hot: c.Hot, Shift: c.Shift, Unseen: c.Unseen, Rate: c.Rate, Seconds: c.For,
+		Burst: c.Burst, BurstOf: c.BurstOf, Tenants: c.Tenant, Timeout: c.Timeout, Impatient: c.Impatient, Retries: c.Retries, Seed: c.Seed, Say: os.Stderr}
+	for _, m := range c.Model {
+		var first, last int
+		name, span, ok := strings.Cut(m, "..")
+		cut := strings.LastIndexByte(name, '-')
+		if _, err := fmt.Sscanf(name[cut+1:]+" "+span, "%d %d", &first, &last); !ok || err != nil || cut < 0 || last < first || last-first > 100000 {
+			o.Models = append(o.Models, m)
+			continue
+		}
+		for i := first; i <= last; i++ {
+			o.Models = append(o.Models, fmt.Sprintf("%s-%d", name[:cut], i))
+		}
+	}
+	if c.Trace != "" {
+		f, err := os.Open(c.Trace)
+		if err != nil {
+			return err
+		}
+		o.Trace, err = lab.ReadTrace(f)
+		f.Close()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", c.Trace, err)
+			return exitCode(app.ExitError)
+		}
+	}
+	r, err := lab.Load(ctx, o)
+	if r == nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCode(app.ExitError)
+	}
+	if c.CSV != "" {
+		f, err := os.Create(c.CSV)
+		if err != nil {
+			return err
+		}
+		if err = errors.Join(r.WriteCSV(f), f.Close()); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	fmt.Printf("asked %d in %.1f s, %d tries, %d not sent, sent at most %.1f ms late; answers %v\n", r.Asked, r.Seconds, r.Tries, r.NotSent, r.Late*1e3, r.Answers)
+	for _, l := range []struct {
+		name string
+		lab.Latency
+	}{{"returned", r.Returned}, {"all", r.All}} {
+		fmt.Printf("%-9s mean %.1f  p50 %.1f  p90 %.1f  p99 %.1f  p99.9 %.1f  max %.1f ms from the intended time\n", l.name, l.Mean*1e3, l.P50*1e3,
+			l.P90*1e3, l.P99*1e3, l.P999*1e3, l.Max*1e3)
+	}
+	return nil
+}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"path"
+	"slices"
 )
 
 // Spec describes a fleet. Spans are seconds, memory is MB.
@@ -538,6 +539,14 @@
 	f.enter(now, r.w)
 	defer f.leave(r.w)
 	r.cancelled = true
+	if r.m != nil && r.st != runs && r.st != ended && r.w.StopsCancelled { // its place in the queue is free again
+		if i := slices.Index(r.m.waiting, r); i >= 0 {
+			r.m.waiting = slices.Delete(r.m.waiting, i, i+1)
+			r.w.held--
+			r.st, r.Verdict, r.EndAt = ended, Silent, f.now
+			f.log(r.w, "stopped", r)
+		}
+	}
 	if r.st == runs && r.w.StopsCancelled {
 		f.stop(r)
 		r.Verdict = Silent
