--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -158,17 +158,26 @@
 	return ParseDay(file, text, clock)
 }
 
-// ParseDay reads and checks a day; file is for messages only. The error is config.Problems.
-func ParseDay(file string, text []byte, clock Clock) (*Day, error) {
+// decodeDay reads a day as it is written, without checking what it says.
+func decodeDay(file string, text []byte) (*Day, *config.Source, error) {
 	d := &Day{Seed: 1, Size: 1, Dispatchers: 1, Settings: config.Default(), Fleet: Fleet{Zones: 1, Cores: 4, Speed: 1, Memory: config.B(2e9),
 		Queue: 64, Loads: 4, Disk: true, StopsCancelled: true, StoreSlots: 4, StoreLimit: 24},
 		Network: Network{Delay: config.S(0.0001), Jitter: config.S(0.0001)}}
 	s, err := config.Decode(file, text, d)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if p := s.Problems(); len(p) > 0 {
-		return nil, p
+		return nil, nil, p
+	}
+	return d, s, nil
+}
+
+// ParseDay reads and checks a day; file is for messages only. The error is config.Problems.
+func ParseDay(file string, text []byte, clock Clock) (*Day, error) {
+	d, s, err := decodeDay(file, text)
+	if err != nil {
+		return nil, err
 	}
 	d.check(s, mosts[clock])
 	if p := s.Problems(); len(p) > 0 {
--- a/internal/lab/draw.go
+++ b/internal/lab/draw.go
@@ -182,8 +182,10 @@
 // smaller lists the days that are one step less than this one.
 func smaller(text []byte) (out []lesser) {
 	read := func() *Day {
-		d := &Day{Size: 1, Settings: config.Default()}
-		yaml.Unmarshal(text, d)
+		d, _, err := decodeDay("", text)
+		if err != nil {
+			return &Day{} // it was read before
+		}
 		return d
 	}
 	d := read()
--- a/internal/lab/page.go
+++ b/internal/lab/page.go
@@ -54,15 +54,15 @@
 
 var colours = []color.RGBA{{0x1f, 0x77, 0xb4, 255}, {0xd6, 0x27, 0x28, 255}, {0x2c, 0xa0, 0x2c, 255}, {0x94, 0x67, 0xbd, 255}, {0xff, 0x7f, 0x0e, 255}}
 
-// line is one curve over the slices of a day.
+// curve is one line over the slices of a day.
 type curve struct {
 	name string
 	of   func(s Slice) float64
 }
 
-// graph draws curves over a day as SVG, troubles as shaded spans; high is the most the vertical axis needs to show, 0
+// graph draws curves over a day, troubles as shaded spans; high is the most the vertical axis needs to show, 0
 // for as much as there is.
-func graph(rep *Report, title, unit string, high float64, list ...curve) (template.HTML, error) {
+func graph(rep *Report, title, unit string, high float64, list ...curve) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "s of the day", unit
 	p.Title.TextStyle.Font.Size, p.X.Min, p.Y.Min, p.Y.Max = vg.Points(11), 0, 0, high
@@ -73,6 +73,7 @@
 	if len(rep.Slices) > 1 {
 		width = rep.Slices[1].From - rep.Slices[0].From
 	}
+	p.X.Max = width * float64(len(rep.Slices)) * 1.25 // room for the legend
 	for i, c := range list {
 		var xy plotter.XYs
 		for _, s := range rep.Slices {
@@ -82,7 +83,7 @@
 		}
 		l, err := plotter.NewLine(xy)
 		if err != nil {
-			return "", err
+			return nil, err
 		}
 		l.Color, l.Width = colours[i%len(colours)], vg.Points(1.5)
 		lines = append(lines, l)
@@ -94,15 +95,15 @@
 	for _, m := range rep.Marks {
 		box, err := plotter.NewPolygon(plotter.XYs{{X: m.From, Y: 0}, {X: m.To, Y: 0}, {X: m.To, Y: p.Y.Max}, {X: m.From, Y: p.Y.Max}})
 		if err != nil {
-			return "", err
+			return nil, err
 		}
-		box.Color, box.LineStyle.Width = color.RGBA{0x30, 0x30, 0x18, 0x18}, 0
+		box.Color, box.LineStyle.Width = color.NRGBA{0, 0, 0, 0x20}, 0
 		p.Add(box)
 	}
 	for _, l := range lines {
 		p.Add(l)
 	}
-	return svg(p, 15*vg.Centimeter, 6*vg.Centimeter)
+	return p, nil
 }
 
 func svg(p *plot.Plot, w, h vg.Length) (template.HTML, error) {
@@ -143,7 +144,11 @@
 				{"loads", func(s Slice) float64 { return float64(s.Loads) }}, {"load orders", func(s Slice) float64 { return float64(s.Orders) }},
 				{"store fetches", func(s Slice) float64 { return float64(s.Fetches) }}}},
 		} {
-			h, err := graph(rep, g.title, g.unit, g.high, g.list...)
+			p, err := graph(rep, g.title, g.unit, g.high, g.list...)
+			if err != nil {
+				return err
+			}
+			h, err := svg(p, 15*vg.Centimeter, 6*vg.Centimeter)
 			if err != nil {
 				return err
 			}
@@ -203,6 +208,7 @@
 	l.Color, s.Color = colours[0], colours[0]
 	p.Add(plotter.NewGrid(), l, s, e)
 	p.NominalX(names...)
+	p.X.Min, p.X.Max = -0.5, float64(len(rows))-0.5
 	p.X.Tick.Label.Rotation, p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = math.Pi/8, draw.XRight, draw.YCenter
 	return p.Save(vg.Length(max(12, 2*len(rows)))*vg.Centimeter, 9*vg.Centimeter, file)
 }
