--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -177,6 +177,9 @@
 
 // Write prints the report for people: a line a rule, then service by model group.
 func (rep *Report) Write(out io.Writer) {
+	if rep.Partial {
+		fmt.Fprintln(out, "interrupted: what follows is partial")
+	}
 	for _, f := range rep.Findings {
 		fmt.Fprintf(out, "rule %d  %-9s  %5d tests  %s\n", f.Rule, f.Verdict(), f.Tests, f.Name)
 		for _, b := range f.Breaks {
