The judge tells how near each rule came to its limit

A rule kept says nothing of how nearly it broke, so a change that eats the margin goes unseen. Findings carry the nearest: share of the client's time, of the grace, of the ration, and in simulated time of the work that pushes a cold worker over.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -85,9 +85,10 @@
 	Seeds   int     `json:"seeds"`
 	Service float64 `json:"service"`
 	Warm    float64 `json:"warm"`
-	Turned  float64 `json:"turned"` // share of forwards
-	Loads   float64 `json:"loads"`  // for each inference served
-	Broken  int     `json:"broken"` // runs in which a rule was
+	Turned  float64 `json:"turned"`  // share of forwards
+	Loads   float64 `json:"loads"`   // for each inference served
+	Broken  int     `json:"broken"`  // runs in which a rule was
+	Nearest float64 `json:"nearest"` // to the limit of rule 4 in any run, 1 for at it
 	Diff    float64 `json:"difference"`
 	Half    float64 `json:"half_width"`        // of the 95% confidence interval of the difference
 	Stopped string  `json:"stopped,omitempty"` // clear, or hopeless: no difference worth telling
@@ -220,6 +221,7 @@
 	mean(&r.Turned, float64(rep.Turned)/math.Max(1, float64(rep.Forwards)))
 	mean(&r.Loads, float64(rep.Loads)/math.Max(1, float64(rep.Served)))
 	mean(&r.Diff, rep.Service-base.Service)
+	r.Nearest = math.Max(r.Nearest, rep.Findings[3].Nearest)
 	r.diffs = append(r.diffs, rep.Service-base.Service)
 	if rep.Broken() {
 		r.Broken++
@@ -229,10 +231,10 @@
 // WriteRows prints the rows for people.
 func WriteRows(out io.Writer, rows []Row) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "variant\tseeds\tservice\twarm\tturned away\tloads each\tbroken\tdifference\t+-\t")
+	fmt.Fprintln(w, "variant\tseeds\tservice\twarm\tturned away\tloads each\tbroken\tcold limit\tdifference\t+-\t")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%d\t%.4f\t%.3f\t%.3f\t%.3f\t%d\t%+.4f\t%.4f\t%s\n", r.Name, r.Seeds, r.Service, r.Warm, r.Turned, r.Loads,
-			r.Broken, r.Diff, r.Half, r.Stopped)
+		fmt.Fprintf(w, "%s\t%d\t%.4f\t%.3f\t%.3f\t%.3f\t%d\t%.2f\t%+.4f\t%.4f\t%s\n", r.Name, r.Seeds, r.Service, r.Warm, r.Turned, r.Loads,
+			r.Broken, r.Nearest, r.Diff, r.Half, r.Stopped)
 	}
 	w.Flush()
 }
--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// The nearest a rule came to its limit is told, and grows with what presses on it.
+func TestNearestToTheLimit(t *testing.T) {
+	cold := strings.Replace(tiny, "fleet: {", "fleet: {cold: true, ", 1)
+	near := func(rate string) float64 {
+		_, rep := simulate(t, strings.Replace(cold, "rate: 30", "rate: "+rate, 1), 1)
+		if f := rep.Findings[0]; f.Nearest <= 0 || f.Nearest > 1 {
+			t.Errorf("rule 1: %g of the client's time", f.Nearest)
+		}
+		return rep.Findings[3].Nearest
+	}
+	if low, high := near("10"), near("60"); !(low > 0 && low < high && high <= 1) {
+		t.Errorf("rule 4: %g of the limit, and %g at six times the load", low, high)
+	}
+}
+
 func TestDrawnDaysAreGoodAndRepeat(t *testing.T) {
 	for seed := uint64(1); seed <= 100; seed++ {
 		a, err := Draw(seed)
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -62,6 +62,9 @@
 	Tests  int      `json:"tests"` // how often it was really put to the test
 	Breaks []string `json:"breaks,omitempty"`
 	Broken int      `json:"broken"`
+	// Nearest is how near to its limit the rule came at the worst, 1 for at the limit: of the client's time for rule 1,
+	// the grace for 3, the work that pushes a cold worker over for 4 (simulated only), and the ration for 5.
+	Nearest float64 `json:"nearest,omitempty"`
 }
 
 // Verdict is broken, kept, or not shown where nothing put the rule to the test.
@@ -156,6 +159,7 @@
 			continue // refused before it was taken
 		}
 		f.Tests++
+		f.Nearest = math.Max(f.Nearest, (t.Answered-t.Sent)/t.Timeout)
 		if late := t.Answered - t.Sent - t.Timeout; late > answerSlack {
 			f.broke("%s: answered %.3f s after the client's time", t.Inference, late)
 		}
@@ -282,6 +286,9 @@
 			if r.T > w.Heard-2 && r.T <= w.Heard {
 				tested = true
 			}
+			if r.T > w.Heard && r.T < until {
+				f.Nearest = math.Max(f.Nearest, (r.T-w.Heard)/(grace+wireSlack))
+			}
 			if r.T > w.Heard+grace+wireSlack && r.T < until {
 				f.broke("%s sent %s an %s of %s %.3f s after it heard that it is %s", w.Dispatcher, w.Worker, kindOf(r), r.Model, r.T-w.Heard, w.State)
 			}
@@ -394,7 +401,9 @@
 				took++
 			}
 		}
-		if most := l.Few + l.Share*float64(took); float64(n) > most {
+		most := l.Few + l.Share*float64(took)
+		f.Nearest = math.Max(f.Nearest, float64(n)/math.Max(1, most))
+		if float64(n) > most {
 			f.broke("%s ordered %d loads within %gs, where %d inferences allow %.1f", r.Dispatcher, n, l.Window.Seconds, took, most)
 		}
 	}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -181,7 +181,11 @@
 		fmt.Fprintln(out, "interrupted: what follows is partial")
 	}
 	for _, f := range rep.Findings {
-		fmt.Fprintf(out, "rule %d  %-9s  %5d tests  %s\n", f.Rule, f.Verdict(), f.Tests, f.Name)
+		near := ""
+		if f.Nearest > 0 {
+			near = fmt.Sprintf("; %.0f%% of the limit at the nearest", 100*f.Nearest)
+		}
+		fmt.Fprintf(out, "rule %d  %-9s  %5d tests  %s%s\n", f.Rule, f.Verdict(), f.Tests, f.Name, near)
 		for _, b := range f.Breaks {
 			fmt.Fprintf(out, "        %s\n", b)
 		}
--- a/internal/lab/simulated.go
+++ b/internal/lab/simulated.go
@@ -143,6 +143,7 @@
 		rep.Exits = append(rep.Exits, 0)
 	}
 	rep.fill(day, s.e)
+	rep.Findings[3].Nearest = s.fleet.Nearest
 	return s.e, rep
 }
 
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -183,8 +183,9 @@
 	byName    map[string]*worker
 	marks     map[string]*mark
 	fetches   int
-	Fetched   int // fetches from the store in all
-	Refused   int // fetches it turned away
+	Fetched   int     // fetches from the store in all
+	Nearest   float64 // how near a cold worker came to falling over, 1 for at the limit
+	Refused   int     // fetches it turned away
 	done      []*Req
 	faults    []Fault
 	agenda    agenda
@@ -417,7 +418,11 @@
 	for _, s := range w.sent {
 		sum += s.work
 	}
-	if len(w.sent) > 2 && sum > w.Overload*w.capacity(f.now)*w.Cores*w.Speed*w.Fall {
+	limit := w.Overload * w.capacity(f.now) * w.Cores * w.Speed * w.Fall
+	if len(w.sent) > 2 {
+		f.Nearest = math.Max(f.Nearest, sum/limit)
+	}
+	if len(w.sent) > 2 && sum > limit {
 		w.fell = true
 		f.log(w, "fell", nil)
 		f.vanish(w, math.Inf(1))
