--- a/control/control.go
+++ b/control/control.go
@@ -220,7 +220,8 @@
 		}
 	} else if c < 1 {
 		if d.now > w.coldAt+fall { // a turn by chance; unused in time it lapses: all fellows' turns add up
-			share := math.Max(1/(fall*d.fellows), coldSafety*d.told.overload*c*d.seen())
+			safe := coldSafety * (1 + 1/d.fellows) // alone there is no chance in it but our own
+			share := math.Max(1/(fall*d.fellows), safe*d.told.overload*c*d.seen())
 			w.coldAt = d.now + 2*d.rnd.share()/share
 		}
 		if d.now < w.coldAt {
