--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -186,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	err = lab.WritePage(io.Writer(f), list)
+	err = lab.WritePage(f, list)
 	if e := f.Close(); err == nil {
 		err = e
 	}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -159,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := interrupted()
 	defer stop()
 	var evidence *lab.Evidence
 	var rep *lab.Report
--- a/internal/lab/draw.go
+++ b/internal/lab/draw.go
@@ -74,6 +74,8 @@
 	return yaml.Marshal(d)
 }
 
+const lossLeast = 0.01 // of service: less is the chance of a run, and nothing would be left of the day when shrunk
+
 // Found is a day that a hunt found weak.
 type Found struct {
 	Text    []byte
@@ -120,7 +122,7 @@
 		if errs[k] != nil {
 			return nil, errs[k]
 		}
-		if f != nil {
+		if f != nil && (len(f.Broken) > 0 || f.Quiet-f.Service > lossLeast) {
 			out = append(out, *f)
 		}
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -135,6 +135,9 @@
 func Experiment(ctx context.Context, list []Variant, lim Limits, say io.Writer) ([]Row, error) {
 	rows := make([]Row, len(list))
 	var errs []error
+	if lim.Seeds < 2 {
+		errs = append(errs, errors.New("one seed tells no interval: write at least 2"))
+	}
 	for i, v := range list {
 		rows[i].Name = v.Name
 		if _, err := ParseDay(v.Name, v.Text, Simulated); err != nil {
--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -64,6 +64,9 @@
 	if _, err := Experiment(context.Background(), bad, Limits{Seeds: 4}, io.Discard); err == nil || !strings.Contains(err.Error(), "fleet.workers") {
 		t.Errorf("a variant out of range: %v", err)
 	}
+	if _, err := Experiment(context.Background(), list, Limits{Seeds: 1}, io.Discard); err == nil {
+		t.Error("one seed was taken for an interval")
+	}
 	for _, key := range []string{"settings.groups[7].slo", "name.x"} {
 		if _, err := Vary([]byte(tiny), []string{key}, [][]string{{"1"}}); err == nil {
 			t.Errorf("%s was set", key)
