Host: clients and workers by two small interfaces, HTTP/1.1 being one implementation

The host spoke HTTP/1.1 in every file. Models nobody asks for are forgotten after 300 s, and workers gone for as long, with their counters. A list may tell a worker's start, which is then not asked for.

Tests of gateway, roster and app pass as they did.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -13,13 +13,8 @@
 
 // told is what the head of a worker's answer says beside the answer itself.
 type told struct {
-	result control.Result
-	found  control.Found
-	crowd  int        // inferences of the model it held, -1 for not told
-	report [8]float64 // load report by the configured fields
-	fields int        // of the report; 0 for none
-	start  float64    // seconds since 1970; 0 for not told
-	copies int
+	Heard
+	start  float64 // seconds since 1970; 0 for not told
 	memory float64 // MB, lanes and seconds of a load; 0 for not told
 	lanes  float64
 	load   float64
@@ -27,7 +22,7 @@
 
 // classify reads the head of an answer. Only a 503 that says Mastchute-Ran: no is proof that nothing ran.
 func classify(h *http1.Head, fields []string) (t told) {
-	t.crowd = -1
+	t.Crowd = -1
 	ranNot, miss := false, false
 	for i := range h.Headers {
 		n, v := h.Headers[i].Name, h.Headers[i].Value
@@ -35,7 +30,7 @@
 			continue
 		}
 		if http1.Is(n, "endpoint-load-metrics") {
-			t.fields = orca(v, fields, t.report[:])
+			t.Fields = orca(v, fields, t.Report[:])
 			continue
 		}
 		if n[0]|0x20 != 'm' || !http1.Is(n[:min(10, len(n))], "mastchute-") {
@@ -49,20 +44,20 @@
 		case http1.Is(rest, "found"):
 			switch string(v) {
 			case "warm":
-				t.found = control.FoundWarm
+				t.Found = control.FoundWarm
 			case "began":
-				t.found = control.BeganLoad
+				t.Found = control.BeganLoad
 			case "awaited":
-				t.found = control.AwaitedLoad
+				t.Found = control.AwaitedLoad
 			case "failed":
-				t.found = control.LoadFailed
+				t.Found = control.LoadFailed
 			}
 		case http1.Is(rest, "start"):
 			t.start = number(v)
 		case http1.Is(rest, "crowd"):
-			t.crowd = int(number(v))
+			t.Crowd = int(number(v))
 		case http1.Is(rest, "copies"):
-			t.copies = int(number(v))
+			t.Copies = int(number(v))
 		case http1.Is(rest, "memory"):
 			t.memory = number(v)
 		case http1.Is(rest, "lanes"):
@@ -73,13 +68,13 @@
 	}
 	switch {
 	case h.Status == 503 && ranNot && miss:
-		t.result = control.Missed
+		t.Result = control.Missed
 	case h.Status == 503 && ranNot:
-		t.result = control.Full
+		t.Result = control.Full
 	case h.Status >= 500:
-		t.result = control.Errored
+		t.Result = control.Errored
 	default:
-		t.result = control.Returned
+		t.Result = control.Returned
 	}
 	return t
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,63 +1,36 @@
 package gateway
 
 import (
-	"cmp"
-	"math"
-	"strconv"
-
 	"mastchute/control"
-	"mastchute/internal/h1"
-	"mastchute/internal/http1"
 	"mastchute/internal/loop"
 	"mastchute/internal/roster"
 )
 
-// forward is one sending of an inference to a worker.
-type forward struct {
-	g       *Gateway
-	q       *inference
-	n       int
-	w       *worker
-	call    h1.Call
-	head    []byte
-	made    float64 // when the decisions asked for it
-	timer   loop.Timer
-	done    bool
-	told    told
-	status  int
-	headers []byte // of the answer, for the client
-	length  int64  // of the answer, -1 for not told
-	body    []byte // of the answer, as far as it is held
-	result  control.Result
-	headAt  float64
-}
-
 // ending is an outcome to be told to the decisions; f nil: only lets the inference's place go.
 type ending struct {
-	q *inference
-	f *forward
+	q *Inference
+	f *Forward
 	o control.Outcome
 }
 
-func (g *Gateway) getForward() *forward {
+func (g *Gateway) getForward() *Forward {
 	if n := len(g.forwards); n > 0 {
 		f := g.forwards[n-1]
 		g.forwards = g.forwards[:n-1]
 		return f
 	}
-	f := &forward{g: g}
-	f.call.Caller = f
+	f := &Forward{g: g}
 	f.timer.Fire = func() { g.end(f, control.TimedOut) }
 	return f
 }
 
-func (g *Gateway) putForward(f *forward) {
-	f.q, f.w = nil, nil
-	f.head, f.headers, f.body = f.head[:0], f.headers[:0], f.body[:0]
-	if cap(f.body) > 64<<10 {
-		f.body = nil
+func (g *Gateway) putForward(f *Forward) {
+	f.Q, f.W = nil, nil
+	f.Body = f.Body[:0]
+	if cap(f.Body) > 64<<10 {
+		f.Body = nil
 	}
-	f.told, f.status, f.done = told{}, 0, false
+	f.Heard, f.done, f.barred = Heard{}, false, false
 	g.forwards = append(g.forwards, f)
 }
 
@@ -71,86 +44,45 @@
 		return
 	}
 	f := g.getForward()
-	f.q, f.n, f.w, f.made, f.length = q, q.n, w, g.Loop.Now(), -1
-	f.call.Peek = 0
+	f.Q, f.N, f.W, f.made = q, q.n, w, g.Loop.Now()
+	w.out++
 	q.forwards[q.n] = f
 	q.n++
 	q.out++
 	w.meter.forwards.Inc()
 	if q.final || w.State != control.Ready { // rules 1 and 3, whatever was decided
 		g.Metrics.guard("forward_barred")
+		f.barred = true
 		g.end(f, control.Moot)
 		return
 	}
 	if timeout > 0 {
 		g.Loop.Start(&f.timer, timeout)
 	}
-	f.head = g.requestHead(f.head[:0], q, f)
 	w.Sent()
-	w.pool.Do(&f.call, f.head, q.x.Body)
-}
-
-// requestHead writes the head of a forward: the client's headers but those of its connection and ours, then ours.
-func (g *Gateway) requestHead(b []byte, q *inference, f *forward) []byte {
-	h := &q.x.Head
-	b = append(b, "POST /v2/models/"...)
-	b = append(b, q.model.name...)
-	b = append(b, "/infer HTTP/1.1\r\nHost: "...)
-	b = f.w.Addr.AppendTo(b)
-	b = append(b, "\r\n"...)
-	conn, key := h.Get("connection"), false
-	for i := range h.Headers {
-		n, v := h.Headers[i].Name, h.Headers[i].Value
-		if http1.HopByHop(n) || len(conn) > 0 && http1.Listed(conn, n) {
-			continue
-		}
-		if len(n) > 10 && http1.Is(n[:10], "mastchute-") && !http1.Is(n, "mastchute-tenant") && !http1.Is(n, "mastchute-work") {
-			continue
-		}
-		key = key || http1.Is(n, "idempotency-key")
-		b = append(b, n...)
-		b = append(b, ": "...)
-		b = append(b, v...)
-		b = append(b, "\r\n"...)
-	}
-	if !key && q.model.group.Effect != "retriable" { // a mark of our own, good for our own further forwards
-		b = append(b, "Idempotency-Key: "...)
-		b = g.appendID(b, q)
-		b = append(b, "\r\n"...)
-	}
-	b = append(b, "Mastchute-Inference: "...)
-	b = g.appendID(b, q)
-	b = append(b, "\r\nMastchute-Forward: "...)
-	b = strconv.AppendInt(b, int64(f.n), 10)
-	b = append(b, "\r\nMastchute-Dispatcher: "...)
-	b = append(b, g.cfg.Name...)
-	b = append(b, "\r\nMastchute-Group: "...)
-	b = append(b, q.model.group.Name...)
-	b = append(b, "\r\nMastchute-Timeout: "...)
-	b = appendSeconds(b, math.Max(0.001, q.notAfter-g.Loop.Now()))
-	b = append(b, "\r\n"...)
-	b = http1.AppendLength(b, int64(len(q.x.Body)))
-	return append(b, "\r\n"...)
+	w.link.Forward(f)
 }
 
 // Shed answers that trying again is harmless.
 func (g *Gateway) Shed(id control.InferenceID, retryAfter control.Seconds) {
-	if q := g.find(id); q != nil && q.x != nil {
-		g.finish(q, answerShed, 503, retryAfter, "no worker can take this now; trying again is harmless")
+	if q := g.find(id); q != nil && q.Client != nil {
+		if c := g.final(q, answerShed); c != nil {
+			c.Shed(q, retryAfter)
+		}
 	}
 }
 
 // Fail answers that it did not work out, and promises nothing.
 func (g *Gateway) Fail(id control.InferenceID) {
 	q := g.find(id)
-	if q == nil || q.x == nil {
+	if q == nil || q.Client == nil {
 		return
 	}
 	if g.Loop.Now() > q.notAfter-0.1 {
-		g.finish(q, answerFailed, 504, 0, "no answer came in time; it may have run")
+		g.fail(q, true, "no answer came in time; it may have run")
 		return
 	}
-	g.finish(q, answerFailed, 502, 0, "the workers failed; it may have run")
+	g.fail(q, false, "the workers failed; it may have run")
 }
 
 // Cancel gives a forward up.
@@ -163,7 +95,7 @@
 // CloseIdle closes the idle connections to a worker.
 func (g *Gateway) CloseIdle(id control.WorkerID) {
 	if w := g.workers[id]; w != nil {
-		w.pool.CloseIdle()
+		w.link.CloseIdle()
 	}
 }
 
@@ -200,66 +132,13 @@
 // Log passes on what the decisions say.
 func (g *Gateway) Log(text string) { g.log.Info().Str("from", "decisions").Msg(text) }
 
-// Head implements h1.Caller.
-func (f *forward) Head(h *http1.Head) {
-	f.headAt = f.g.Loop.Now()
-	f.told = classify(h, f.g.cfg.Report)
-	f.status, f.length = h.Status, h.Length
-	f.g.heard(f.w, &f.told)
-	if m := f.q.model; f.told.result == control.Returned { // what the catalogue does not say, workers may
-		m.memory = cmp.Or(m.memory, f.told.memory)
-		m.lanes = cmp.Or(m.lanes, f.told.lanes)
-		m.load = cmp.Or(m.load, f.told.load)
-	}
-	if f.told.result != control.Returned || f.q.final {
-		return
-	}
-	for i := range h.Headers {
-		n := h.Headers[i].Name
-		if http1.HopByHop(n) || http1.Is(n, "endpoint-load-metrics") || len(n) > 10 && http1.Is(n[:10], "mastchute-") {
-			continue
-		}
-		f.headers = append(f.headers, n...)
-		f.headers = append(f.headers, ": "...)
-		f.headers = append(f.headers, h.Headers[i].Value...)
-		f.headers = append(f.headers, "\r\n"...)
-	}
-	if h.Length > f.g.cfg.Limits.Answer.Bytes {
-		f.g.stream(f)
-	}
-}
-
-// Body implements h1.Caller: an answer is held whole up to a limit, and goes through as it comes beyond it.
-func (f *forward) Body(b []byte) {
-	switch {
-	case f.told.result != control.Returned || f.q.final && f.q.stream != f:
-		return
-	case f.q.stream == f:
-		if !f.q.x.Write(b) {
-			f.call.Pause()
-		}
-	default:
-		f.body = append(f.body, b...)
-		if int64(len(f.body)) > f.g.cfg.Limits.Answer.Bytes {
-			f.g.stream(f)
-		}
-	}
-}
-
-// stream begins to pass an answer on as it comes. The other forwards are given up: the client has its answer.
-func (g *Gateway) stream(f *forward) {
-	q := f.q
+// Stream tells that the answer of a forward goes to the client as it comes from now on. The other forwards are given up:
+// the client has its answer.
+func (g *Gateway) stream(f *Forward) {
+	q := f.Q
 	q.stream = f
 	g.Loop.Cancel(&q.timer)
 	g.Loop.Cancel(&f.timer)
-	b := q.x.Start(f.status)
-	b = g.marks(b, q, answerReturned)
-	b = append(b, f.headers...)
-	q.x.Stream(b, f.length)
-	if len(f.body) > 0 && !q.x.Write(f.body) {
-		f.call.Pause()
-	}
-	f.body = f.body[:0]
 	for _, o := range q.forwards[:q.n] {
 		if o != f {
 			g.end(o, control.Cancelled)
@@ -267,53 +146,40 @@
 	}
 	g.begin()
 	if g.module != nil {
-		g.guard(func() { g.module.Streaming(q.id, f.n, f.w.ID, g.Loop.Now()-f.made) })
+		g.guard(func() { g.module.Streaming(q.id, f.N, f.W.ID, g.Loop.Now()-f.made) })
 	}
 }
 
-// End implements h1.Caller.
-func (f *forward) End(err error) {
-	if err != nil {
-		f.g.end(f, lost(err, f.call.Wrote()))
-		return
-	}
-	f.g.end(f, f.told.result)
-}
-
 // end ends a forward, once, and has its outcome told in this turn.
-func (g *Gateway) end(f *forward, r control.Result) {
+func (g *Gateway) end(f *Forward, r control.Result) {
 	if f == nil || f.done {
 		return
 	}
 	if f.done = true; r == control.TimedOut || r == control.Cancelled || r == control.Moot {
-		if f.call.Peek == 0 && r != control.TimedOut { // never handed to a connection that is up
+		if f.barred || f.W.link.Handed(f) == 0 && r != control.TimedOut { // never handed to a connection that is up
 			r = control.Moot
 		}
-		f.call.Cancel()
+		if !f.barred { // the link has never had it
+			f.W.link.Cancel(f)
+		}
 	}
 	g.Loop.Cancel(&f.timer)
-	q, now := f.q, g.Loop.Now()
+	q, now := f.Q, g.Loop.Now()
 	f.result = r
-	f.w.meter.ended(r)
-	o := control.Outcome{ID: q.id, Forward: f.n, Worker: f.w.ID, Took: now - f.made, Result: r, Found: f.told.found,
-		Crowd: f.told.crowd, Report: f.told.report[:f.told.fields]}
+	f.W.out--
+	f.W.meter.ended(r)
+	o := control.Outcome{ID: q.id, Forward: f.N, Worker: f.W.ID, Took: now - f.made, Result: r, Found: f.Heard.Found,
+		Crowd: f.Heard.Crowd, Report: f.Heard.Report[:f.Heard.Fields]}
 	if r == control.Returned && !q.final {
-		x := q.x
-		q.x = nil
-		if q.stream == f {
-			x.End()
-		} else {
-			b := x.Start(f.status)
-			b = g.marks(b, q, answerReturned)
-			b = append(b, f.headers...)
-			x.Finish(b, f.body)
-		}
-		g.close(q, answerReturned, f.status)
+		c := q.Client
+		q.Client = nil
+		c.Returned(q, f)
+		g.close(q, answerReturned)
 	} else if q.stream == f && !q.final { // cut short after it began: the client must see that
-		x := q.x
-		q.x = nil
-		x.Break()
-		g.close(q, answerFailed, f.status)
+		c := q.Client
+		q.Client = nil
+		c.Failed(q, false, "the answer was cut short")
+		g.close(q, answerFailed)
 	}
 	o.Final = q.final
 	if len(g.ended) == 0 {
@@ -342,95 +208,62 @@
 	}
 }
 
-// heard takes what any answer tells of its worker and model.
-func (g *Gateway) heard(w *worker, t *told) {
-	if t.start <= 0 || t.start == w.Epoch {
+// heard takes what a worker told of its start, seconds since 1970.
+func (g *Gateway) heard(w *Worker, epoch float64) {
+	if epoch <= 0 || epoch == w.Worker.Epoch || w.Told {
 		return
 	}
-	if start := t.start - g.epoch; g.Roster.Started(w.Worker, t.start, start, g.Loop.Now()) && w.told {
+	if start := epoch - g.epoch; g.Roster.Started(w.Worker, epoch, start, g.Loop.Now()) && w.told {
 		g.log.Info().Str("worker", w.Name).Float64("age_s", g.Loop.Now()-start).Msg("worker has a start not heard of: empty and cold")
-		g.tellWorkers([]*worker{w})
+		g.tellWorkers([]*Worker{w})
 	}
 }
 
-// order is a call to a worker that serves no inference: a load order, an unload, a probe, or the first hello.
-type order struct {
-	g     *Gateway
-	kind  orderKind
-	w     *worker
-	model control.ModelID
-	call  h1.Call
-	head  []byte
-	body  []byte
-	made  float64
-	timer loop.Timer
-	told  told
-	done  bool
-}
-
-type orderKind uint8
-
-const (
-	orderLoad orderKind = iota
-	orderUnload
-	orderProbe
-	orderHello
-)
-
-func (g *Gateway) getOrder(kind orderKind, w *worker, m control.ModelID) *order {
-	var o *order
+func (g *Gateway) getOrder(kind OrderKind, w *Worker, m *Model) *Order {
+	var o *Order
 	if n := len(g.orders); n > 0 {
 		o = g.orders[n-1]
 		g.orders = g.orders[:n-1]
 	} else {
-		o = &order{g: g}
-		o.call.Caller = o
+		o = &Order{g: g}
 		p := o
 		o.timer.Fire = func() { p.finish(control.TimedOut) }
 	}
-	o.kind, o.w, o.model, o.made, o.done, o.told = kind, w, m, g.Loop.Now(), false, told{}
-	o.call.Peek = 0
+	o.Kind, o.W, o.Model, o.Copies, o.made, o.done, o.Heard = kind, w, m, 1, g.Loop.Now(), false, Heard{}
+	w.out++
+	if m != nil {
+		m.refs++
+	}
 	return o
 }
 
-func (o *order) send(method, target string, body string, timeout float64) {
-	b := http1.AppendRequest(o.head[:0], method, target)
-	b = append(b, "Host: "...)
-	b = o.w.Addr.AppendTo(b)
-	b = append(b, "\r\nMastchute-Dispatcher: "...)
-	b = append(b, o.g.cfg.Name...)
-	b = append(b, "\r\n"...)
-	if method == "POST" {
-		b = append(b, "Content-Type: application/json\r\n"...)
-		b = http1.AppendLength(b, int64(len(body)))
-	}
-	o.head, o.body = append(b, "\r\n"...), append(o.body[:0], body...)
+func (o *Order) send(timeout float64) {
 	o.g.Loop.Start(&o.timer, timeout)
-	o.w.pool.Do(&o.call, o.head, o.body)
+	o.W.link.Order(o)
 }
 
 // Order asks a worker to hold copies of a model.
 func (g *Gateway) Order(id control.WorkerID, m control.ModelID, copies int) {
-	w, name := g.workers[id], g.modelID[m]
-	if w == nil || name == nil {
+	w, model := g.workers[id], g.models.byID[m]
+	if w == nil || model == nil {
 		g.Metrics.guard("unknown")
 		return
 	}
-	o := g.getOrder(orderLoad, w, m)
+	o := g.getOrder(OrderLoad, w, model)
+	o.Copies = copies
 	g.Metrics.orders.Inc()
 	if w.State != control.Ready { // rule 3
 		g.Metrics.guard("order_barred")
 		g.Loop.Later(func() { o.finish(control.Moot) })
 		return
 	}
-	o.send("POST", "/v2/repository/models/"+name.name+"/load", `{"parameters":{"copies":`+strconv.Itoa(copies)+`}}`,
-		g.cfg.Loads.Timeout.Seconds)
+	o.send(g.cfg.Loads.Timeout.Seconds)
 }
 
 // Unload asks a worker to unload the idle copies of a model.
 func (g *Gateway) Unload(id control.WorkerID, m control.ModelID) {
-	if w, name := g.workers[id], g.modelID[m]; w != nil && name != nil {
-		g.getOrder(orderUnload, w, m).send("POST", "/v2/repository/models/"+name.name+"/unload", "{}", g.cfg.Loads.Timeout.Seconds)
+	if w, model := g.workers[id], g.models.byID[m]; w != nil && model != nil {
+		g.getOrder(OrderUnload, w, model).send(g.cfg.Loads.Timeout.Seconds)
 	}
 }
 
@@ -438,53 +271,41 @@
 func (g *Gateway) Probe(id control.WorkerID) {
 	if w := g.workers[id]; w != nil {
 		g.Metrics.probes.Inc()
-		g.getOrder(orderProbe, w, 0).send("GET", "/v2/load", "", helloSpan)
+		g.getOrder(OrderProbe, w, nil).send(helloSpan)
 	}
 }
 
-// Head implements h1.Caller.
-func (o *order) Head(h *http1.Head) {
-	o.told = classify(h, o.g.cfg.Report)
-	o.g.heard(o.w, &o.told)
-}
-
-// Body implements h1.Caller.
-func (o *order) Body([]byte) {}
-
-// End implements h1.Caller.
-func (o *order) End(err error) {
-	if err != nil {
-		o.finish(lost(err, o.call.Wrote()))
-		return
-	}
-	o.finish(o.told.result)
-}
-
-func (o *order) finish(r control.Result) {
+func (o *Order) finish(r control.Result) {
 	if o.done {
 		return
 	}
 	o.done = true
 	g := o.g
-	o.call.Cancel()
+	if r == control.TimedOut || r == control.Moot {
+		o.W.link.Drop(o)
+	}
 	g.Loop.Cancel(&o.timer)
 	took := g.Loop.Now() - o.made
-	switch o.kind {
-	case orderLoad:
+	o.W.out--
+	if o.Model != nil {
+		o.Model.refs--
+	}
+	switch o.Kind {
+	case OrderLoad:
 		g.begin()
 		if g.module != nil {
-			res := control.OrderResult{Worker: o.w.ID, Model: o.model, Result: r, Took: took, Copies: o.told.copies}
+			res := control.OrderResult{Worker: o.W.ID, Model: o.Model.ID, Result: r, Took: took, Copies: o.Heard.Copies}
 			g.guard(func() { g.module.Ordered(res) })
 		}
-	case orderProbe:
+	case OrderProbe:
 		g.begin()
 		if g.module != nil {
-			res := control.ProbeResult{Worker: o.w.ID, Result: r, Took: took, Report: o.told.report[:o.told.fields]}
+			res := control.ProbeResult{Worker: o.W.ID, Result: r, Took: took, Report: o.Heard.Report[:o.Heard.Fields]}
 			g.guard(func() { g.module.Probed(res) })
 		}
-	case orderHello:
-		o.w.hello = nil
-		g.greeted(o.w, r == control.Returned)
+	case OrderHello:
+		o.W.hello = nil
+		g.greeted(o.W, r == control.Returned)
 	}
 	g.Loop.Later(func() { g.orders = append(g.orders, o) })
 }
@@ -498,6 +319,13 @@
 	return err
 }
 
+// Change takes what a source of the roster says of some workers, and tells the decisions.
+func (g *Gateway) Change(s roster.Source, list []roster.Entry) error {
+	changed, err := g.Roster.Change(s, list, g.Loop.Now())
+	g.changed(changed)
+	return err
+}
+
 // Rule sets what the admin interface says of a worker, and tells the decisions.
 func (g *Gateway) Rule(e roster.Entry) error {
 	changed, err := g.Roster.Rule(e, g.Loop.Now())
@@ -516,37 +344,34 @@
 }
 
 func (g *Gateway) changed(list []*roster.Worker) {
-	var tell []*worker
+	var tell []*Worker
 	for _, r := range list {
 		w := g.workers[r.ID]
-		if w == nil || w.pool.Addr != r.Addr {
-			if w != nil { // it moved: another process, of which nothing is known
-				w.pool.Close()
-				w.pool.Abandon()
+		if w == nil || w.addr != r.Addr || r.Told && w.epoch != r.Epoch {
+			if w != nil { // it moved or started anew: another process, of which nothing is known
+				w.link.Close()
+				w.link.Abandon()
 				if w.hello != nil {
-					w.hello.call.Cancel()
+					w.link.Drop(w.hello)
 				}
 			} else {
-				w = &worker{Worker: r, meter: g.Metrics.worker(r.Name)}
+				w = &Worker{Worker: r, meter: g.Metrics.worker(r.Name)}
 				g.workers[r.ID] = w
 			}
-			l := g.cfg.Limits
-			w.pool = h1.NewPool(g.Loop, r.Addr, h1.PoolOptions{Conns: l.WorkerConnections, Idle: l.WorkerIdle,
-				IdleTimeout: l.WorkerIdleTimeout.Seconds, ConnectTimeout: l.ConnectTimeout.Seconds,
-				Lost: func() {
-					if w.Lost() {
-						g.greet(w)
-					}
-				}})
+			w.addr, w.epoch, w.link = r.Addr, r.Epoch, g.front.Link(w)
 		}
 		g.log.Info().Str("worker", r.Name).Str("address", r.Addr.String()).Str("state", r.StateName()).
 			Uint32("version", r.Version).Stringer("from", r.From).Msg("worker listed")
 		if r.State != control.Ready {
-			w.pool.Abandon() // what waits for a connection there must not be sent now
+			w.link.Abandon() // what waits for a connection there must not be sent now
 		}
-		if w.told {
+		if w.told || r.Told {
+			w.told = true
 			tell = append(tell, w)
 		}
+		if r.Told {
+			continue
+		}
 		if r.State == control.Ready && (!w.told || r.Held()) {
 			g.greet(w)
 		}
@@ -555,17 +380,17 @@
 }
 
 // greet asks a worker for its start.
-func (g *Gateway) greet(w *worker) {
+func (g *Gateway) greet(w *Worker) {
 	if w.hello == nil && w.State == control.Ready {
 		w.Ask()
-		w.hello = g.getOrder(orderHello, w, 0)
-		w.hello.send("GET", "/v2/load", "", helloSpan)
+		w.hello = g.getOrder(OrderHello, w, nil)
+		w.hello.send(helloSpan)
 	}
 }
 
 // greeted tells the decisions of a worker once its start is known, or could not be learned; what did not answer is
 // asked again.
-func (g *Gateway) greeted(w *worker, ok bool) {
+func (g *Gateway) greeted(w *Worker, ok bool) {
 	if again := w.Answered(ok, g.rnd.Float64()); again > 0 && w.State == control.Ready {
 		if w.again.Fire == nil {
 			w.again.Fire = func() { g.greet(w) }
@@ -574,11 +399,11 @@
 	}
 	if held := g.Roster.Greeted(w.Worker); !w.told || held {
 		w.told = true
-		g.tellWorkers([]*worker{w})
+		g.tellWorkers([]*Worker{w})
 	}
 }
 
-func (g *Gateway) tellWorkers(list []*worker) {
+func (g *Gateway) tellWorkers(list []*Worker) {
 	if len(list) == 0 || !g.subscribed {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,6 @@
-// Package gateway is the host around the decisions: it takes inferences from clients over HTTP/1.1, lets
-// control.Module decide, carries out its actions towards workers, and gives each inference its one final answer.
+// Package gateway is the host around the decisions: it takes inferences from clients, lets control.Module decide, carries
+// out its actions towards workers, and gives each inference its one final answer. It knows clients and workers by the
+// interfaces of side.go; HTTP/1.1 is one implementation of them.
 //
 // It decides nothing about routing. What it adds are guards that hold whatever the decisions say: one final answer,
 // nothing sent after it, nothing sent to a worker that drains, an answer by the client's time. Each guard counts when
@@ -19,20 +20,19 @@
 
 	"mastchute/control"
 	"mastchute/internal/config"
-	"mastchute/internal/h1"
-	"mastchute/internal/http1"
 	"mastchute/internal/loop"
 	"mastchute/internal/roster"
 )
 
 const (
-	mostForwards = 8       // as many as the decisions' record holds
-	mostModels   = 100_000 // names kept; more are refused, so that clients cannot fill the memory with names
-	viewMost     = 1000    // inferences told in a status
-	helloSpan    = 1.0     // s a newly listed worker may take to tell its start, before it is listed without
-	stopPoll     = 0.01    // s between looks while stopping
-	stopLinger   = 1.5     // s for the last answers to be read after the last inference has ended
-	slotBits     = 20      // of an inference's id: its place; the rest counts uses of the place
+	mostForwards = 8     // as many as the decisions' record holds
+	viewMost     = 1000  // inferences told in a status
+	helloSpan    = 1.0   // s a newly listed worker may take to tell its start, before it is listed without
+	stopPoll     = 0.01  // s between looks while stopping
+	stopLinger   = 1.5   // s for the last answers to be read after the last inference has ended
+	forgetEvery  = 5.0   // s between looks for what may be forgotten
+	goneLong     = 300.0 // s after which a gone worker is forgotten, as the decisions do
+	slotBits     = 20    // of an inference's id: its place; the rest counts uses of the place
 )
 
 // Start makes the decisions of a dispatcher.
@@ -46,38 +46,38 @@
 
 	cfg    *config.Config
 	log    zerolog.Logger
-	server *h1.Server
+	front  Front
 	module control.Module
 	set    control.Settings
-	budget h1.Budget
 	epoch  float64 // seconds since 1970 at the loop's second 0
 	name   string  // of this start: what inference ids begin with
 	seq    uint64
 	batch  bool // the module has heard events since its last Settle
 
-	models  map[string]*model
-	modelID map[control.ModelID]*model
-	tenants map[string]int
-	groups  []*group
-	workers map[control.WorkerID]*worker
+	models     models
+	mostModels int
+	tenants    map[string]int
+	groups     []*group
+	workers    map[control.WorkerID]*Worker
 
-	slab     []*inference
+	slab     []*Inference
 	free     []int32
 	inHand   int
-	forwards []*forward // free ones
-	orders   []*order   // free ones
+	forwards []*Forward // free ones
+	orders   []*Order   // free ones
 	ended    []ending   // outcomes to be told in this turn
 	ending   []ending
 	tellFn   func()
 
-	subscribed bool
-	stopping   bool
-	stopBy     float64
-	stopTimer  loop.Timer
-	scratch    []byte
-	wakes      map[control.TimerID]*loop.Timer
-	exit       *Exit
-	rnd        *rand.Rand // spreads what dispatchers would else do in step
+	subscribed  bool
+	stopping    bool
+	stopBy      float64
+	stopTimer   loop.Timer
+	forgetTimer loop.Timer
+	scratch     []byte
+	wakes       map[control.TimerID]*loop.Timer
+	exit        *Exit
+	rnd         *rand.Rand // spreads what dispatchers would else do in step
 }
 
 // Exit tells how a gateway ended.
@@ -86,42 +86,40 @@
 	Failed int    // inferences that were failed because the stop's grace ran out
 }
 
-// model is one model by name.
-type model struct {
-	name   string
-	id     control.ModelID
-	group  *group
-	memory float64 // MB
-	lanes  float64
-	load   float64 // s
-}
-
 type group struct {
 	config.Group
 	index control.GroupID
 	meter groupMeter
 }
 
-// worker is a worker of the roster with its connections.
-type worker struct {
-	*roster.Worker
-	pool  *h1.Pool
-	told  bool // the decisions have been told of it
-	hello *order
-	again loop.Timer // asks it once more for its start
-	meter workerMeter
+// Options say what a host serves. Settings are what the decisions are told; Config holds what the host itself needs.
+type Options struct {
+	Config   *config.Config
+	Settings control.Settings
+	Seed     uint64
+	Front    func(g *Gateway) (Front, error) // called once, before the loop runs
+	Source   roster.Source                   // of Workers
+	Workers  []roster.Entry                  // as listed at the start
+	Models   int                             // kept at most; 0 means the usual
 }
 
-// New makes a gateway that listens as configured. Run the loop to serve; at must be the configured address.
-func New(l *loop.Loop, cfg *config.Config, log zerolog.Logger, start Start) (*Gateway, error) {
-	g := &Gateway{Loop: l, cfg: cfg, log: log, set: cfg.Settings(), models: map[string]*model{},
-		modelID: map[control.ModelID]*model{}, tenants: map[string]int{}, workers: map[control.WorkerID]*worker{},
-		Roster: roster.New(config.WorkerID), wakes: map[control.TimerID]*loop.Timer{}, exit: &Exit{}}
+// timer is short for the loop's.
+type timer = loop.Timer
+
+// NewHost makes a host with a front of its own. Run the loop to serve.
+func NewHost(l *loop.Loop, o Options, log zerolog.Logger, start Start) (*Gateway, error) {
+	cfg := o.Config
+	g := &Gateway{Loop: l, cfg: cfg, log: log, set: o.Settings, tenants: map[string]int{}, workers: map[control.WorkerID]*Worker{},
+		Roster: roster.New(config.WorkerID), wakes: map[control.TimerID]*loop.Timer{}, exit: &Exit{}, mostModels: o.Models}
+	if g.mostModels == 0 {
+		g.mostModels = mostModels
+	}
+	g.models.init()
 	g.epoch = float64(l.Origin().UnixNano()) / 1e9
 	g.name = cfg.Name + "-" + strconv.FormatInt(l.Origin().UnixMilli(), 36) + "-"
-	g.budget.Limit = cfg.Limits.Memory.Bytes
 	g.tellFn = g.tell
 	g.stopTimer.Fire = g.stopLook
+	g.forgetTimer.Fire = g.forget
 	g.Metrics = newMetrics(g)
 	for i, c := range cfg.Groups {
 		g.groups = append(g.groups, &group{Group: c, index: control.GroupID(i), meter: g.Metrics.group(c.Name)})
@@ -129,23 +127,15 @@
 	for i, t := range cfg.Tenants {
 		g.tenants[t.Name] = i
 	}
-	at, err := netip.ParseAddrPort(cfg.Listen)
-	if err != nil {
-		return nil, err
-	}
-	lim := cfg.Limits
-	g.server, err = h1.NewServer(l, at, g, h1.ServerOptions{
-		Limits:      http1.Limits{Line: min(8<<10, int(lim.Head.Bytes)), Head: int(lim.Head.Bytes), Headers: 100, Body: lim.Body.Bytes},
-		IdleTimeout: lim.IdleTimeout.Seconds, HeadTimeout: lim.HeadTimeout.Seconds, BodyTimeout: lim.BodyTimeout.Seconds,
-		Budget: &g.budget})
-	if err != nil {
-		return nil, err
-	}
-	seed := cfg.Seed
+	seed := o.Seed
 	if seed == 0 {
 		seed = uint64(time.Now().UnixNano())
 	}
 	g.rnd = rand.New(rand.NewPCG(seed, 5))
+	var err error
+	if g.front, err = o.Front(g); err != nil {
+		return nil, err
+	}
 	l.OnTurn = g.turn
 	l.Later(func() {
 		g.begin()
@@ -154,11 +144,7 @@
 			return
 		}
 		g.guard(func() { g.module.At(l.Now()) })
-		list, err := Entries(cfg.Workers)
-		if err == nil {
-			err = g.Replace(roster.Config, list)
-		}
-		if err != nil {
+		if err := g.Replace(o.Source, o.Workers); err != nil {
 			g.log.Error().Err(err).Msg("workers of the settings not taken")
 		}
 		if g.cfg.Roster.Discovery == "push" {
@@ -167,6 +153,7 @@
 		} else {
 			g.tellList(control.ListCached)
 		}
+		l.Start(&g.forgetTimer, forgetEvery)
 	})
 	return g, nil
 }
@@ -194,9 +181,6 @@
 	return out, nil
 }
 
-// Addr is the address listened on. Safe before the loop runs.
-func (g *Gateway) Addr() netip.AddrPort { return g.server.Addr() }
-
 // Exit tells how it ended, once the loop has.
 func (g *Gateway) Exit() Exit { return *g.exit }
 
@@ -267,7 +251,7 @@
 	g.module = nil
 	g.log.Error().Str("panic", why).Str("stack", string(stack)).Int("in_hand", g.inHand).Msg("decision code failed; this dispatcher ends")
 	g.Loop.Later(func() {
-		g.server.Drain()
+		g.front.Drain()
 		g.failAll("the dispatcher failed")
 		g.stopping, g.stopBy = true, g.Loop.Now()
 		g.stopLook()
@@ -280,7 +264,7 @@
 	for _, q := range g.slab {
 		if q.live && !q.final {
 			n++
-			g.finish(q, answerFailed, 502, 0, why)
+			g.fail(q, false, why)
 			g.begin()
 			if g.module != nil {
 				g.guard(func() { g.module.Withdrawn(q.id) })
@@ -299,7 +283,7 @@
 	} else {
 		g.log.Info().Int("in_hand", g.inHand).Float64("grace_s", grace).Msg("stopping")
 		g.stopping, g.stopBy = true, by
-		g.server.Drain()
+		g.front.Drain()
 	}
 	g.stopLook()
 }
@@ -314,11 +298,11 @@
 	}
 	if !g.anyOpen() {
 		for _, w := range g.workers {
-			w.pool.Close()
-			w.pool.Abandon()
+			w.link.Close()
+			w.link.Abandon()
 		}
 		g.stopBy = math.Min(g.stopBy, now)
-		if g.Loop.Stats.Conns.Load() == 0 || now > g.stopBy+stopLinger || g.server.Conns() == 0 && g.lingered(now) {
+		if g.Loop.Stats.Conns.Load() == 0 || now > g.stopBy+stopLinger || g.front.Conns() == 0 && g.lingered(now) {
 			g.log.Info().Msg("stopped")
 			g.Loop.Stop()
 			return
@@ -343,41 +327,21 @@
 // SetLog changes the log in service.
 func (g *Gateway) SetLog(log zerolog.Logger, sample int) { g.log, g.cfg.Log.Sample = log, sample }
 
-// SetModels takes a new catalogue in service: models seen before keep what they are unless it names them anew.
-func (g *Gateway) SetModels(list []config.Model) {
-	g.cfg.Models = list
-	clear(g.models) // read anew on the next inference; ids stay
-}
-
-// lookup returns a model by its name, nil where the catalogue has none like it.
-func (g *Gateway) lookup(name []byte) (*model, error) {
-	if m := g.models[string(name)]; m != nil {
-		return m, nil
-	}
-	text := string(name)
-	for i := range g.cfg.Models {
-		c := &g.cfg.Models[i]
-		if !matches(c.Name, text) {
-			continue
-		}
-		id := config.ModelID(text)
-		if other := g.modelID[id]; other != nil && other.name != text {
-			return nil, fmt.Errorf("its id is that of model %s by chance", other.name)
-		}
-		if len(g.modelID) >= mostModels {
-			return nil, fmt.Errorf("too many model names were seen")
-		}
-		m := &model{name: text, id: id, memory: c.Memory.MB(), lanes: c.Lanes, load: c.Load.Seconds}
-		for _, q := range g.groups {
-			if q.Name == c.Group {
-				m.group = q
-			}
+// forget drops what is long gone: models nobody asks for, workers taken off the list.
+func (g *Gateway) forget() {
+	now := g.Loop.Now()
+	g.models.forget(now-modelIdle, math.MaxInt)
+	g.Roster.Forget(now-goneLong, func(r *roster.Worker) bool {
+		w := g.workers[r.ID]
+		if w == nil {
+			return true
 		}
-		if m.group == nil {
-			return nil, fmt.Errorf("its model group %s is new: restart to use it", c.Group)
+		if w.out > 0 || w.hello != nil || w.again.Pending() || w.link.Conns() > 0 {
+			return false
 		}
-		g.models[text], g.modelID[id] = m, m
-		return m, nil
-	}
-	return nil, nil
+		delete(g.workers, r.ID)
+		g.Metrics.forget(r.Name)
+		return true
+	})
+	g.Loop.Start(&g.forgetTimer, forgetEvery)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -100,8 +100,8 @@
 		}
 	}
 	r.on(func() {
-		if r.g.seq != 0 || r.g.inHand != 0 || r.g.budget.Used != 0 {
-			t.Errorf("taken %d, in hand %d, %d bytes held", r.g.seq, r.g.inHand, r.g.budget.Used)
+		if r.g.seq != 0 || r.g.inHand != 0 || r.g.front.Held() != 0 {
+			t.Errorf("taken %d, in hand %d, %d bytes held", r.g.seq, r.g.inHand, r.g.front.Held())
 		}
 	})
 }
@@ -112,12 +112,12 @@
 	big := strings.Repeat("x", 40_000)
 	c := r.dial()
 	fmt.Fprintf(c, "POST /v2/models/read-1/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 40000\r\n\r\n%s", big)
-	r.until("the first is held", func() bool { return r.g.budget.Used == 40_000 })
+	r.until("the first is held", func() bool { return r.g.front.Held() == 40_000 })
 	if a := r.ask("read-1", "", big); a.status != 503 || a.answer != "" {
 		t.Errorf("%+v", a)
 	}
 	c.Close()
-	r.until("its memory is handed back", func() bool { return r.g.budget.Used == 0 && r.g.inHand == 0 })
+	r.until("its memory is handed back", func() bool { return r.g.front.Held() == 0 && r.g.inHand == 0 })
 }
 
 // Rule 1: a worker that says nothing costs the client no more than its time; nothing is sent after.
@@ -193,7 +193,7 @@
 	a, b := newWorker(t, "w1", fine), newWorker(t, "w2", fine)
 	r := newRig(t, "", nil, a, b)
 	a.ln.Close()
-	r.on(func() { r.g.workers[r.g.Roster.Named("w1").ID].pool.CloseIdle() })
+	r.on(func() { r.g.workers[r.g.Roster.Named("w1").ID].link.CloseIdle() })
 	for i := range 8 {
 		r.expect(fmt.Sprintf("once-%d", i), 200, "returned")
 	}
@@ -238,7 +238,7 @@
 		go func() { defer wg.Done(); r.expect("read-1", 200, "returned") }()
 	}
 	r.until("four wait for the connection", func() bool {
-		return len(a.seen()) == 2 && r.g.workers[r.g.Roster.Named("w1").ID].pool.Queued() == 4
+		return len(a.seen()) == 2 && r.g.workers[r.g.Roster.Named("w1").ID].link.Queued() == 4
 	})
 	r.on(func() {
 		if err := r.g.Rule(roster.Entry{Name: "w2", Addr: mustAddr(b), State: control.Ready, Weight: 1}); err != nil {
@@ -345,7 +345,7 @@
 		io.WriteString(c, "POST /v2/models/read-1/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\nin")
 		r.until("the answer streams and is held back", func() bool {
 			for _, q := range r.g.slab {
-				if q.live && q.stream != nil && q.x.Waiting() > 128<<10 {
+				if q.live && q.stream != nil && q.Client.(*httpClient).x.Waiting() > 128<<10 {
 					return true
 				}
 			}
@@ -353,8 +353,8 @@
 		})
 		r.on(func() {
 			for _, q := range r.g.slab {
-				if q.live && q.x != nil && q.x.Waiting() > 512<<10 {
-					t.Errorf("%d bytes wait for a client that reads nothing", q.x.Waiting())
+				if q.live && q.Client != nil && q.Client.(*httpClient).x.Waiting() > 512<<10 {
+					t.Errorf("%d bytes wait for a client that reads nothing", q.Client.(*httpClient).x.Waiting())
 				}
 			}
 		})
@@ -422,18 +422,18 @@
 	out := make(chan got, 1)
 	body := strings.Repeat("x", 8<<20)
 	go func() { out <- r.ask("read-1", "", body) }()
-	var f *forward
+	var f *Forward
 	r.until("the forward waits for the worker to read", func() bool {
 		for _, q := range r.g.slab {
-			if q.live && q.n > 0 && q.forwards[0].call.Peek > 0 {
+			if q.live && q.n > 0 && q.forwards[0].W.link.Handed(q.forwards[0]) > 0 {
 				f = q.forwards[0]
 			}
 		}
-		return f != nil && f.call.Waiting() > 0
+		return f != nil && f.Call.(*httpCall).call.Waiting() > 0
 	})
 	r.on(func() {
-		if n := f.call.Waiting(); n > 256<<10 || f.call.Whole() {
-			t.Errorf("%d bytes are held for the worker, whole %v", n, f.call.Whole())
+		if n := f.Call.(*httpCall).call.Waiting(); n > 256<<10 || f.Call.(*httpCall).call.Whole() {
+			t.Errorf("%d bytes are held for the worker, whole %v", n, f.Call.(*httpCall).call.Whole())
 		}
 	})
 	close(goOn)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -96,3 +96,9 @@
 	}
 	return w
 }
+
+// forget drops the counters of a worker.
+func (m *Metrics) forget(worker string) {
+	m.forwards.DeleteLabelValues(worker)
+	m.ends.DeletePartialMatch(prometheus.Labels{"worker": worker})
+}
--- /dev/null
+++ b/internal/gateway/side.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"net/netip"
+
+	"mastchute/control"
+	"mastchute/internal/roster"
+)
+
+// The host knows clients and workers by what follows and by nothing else. HTTP/1.1 (http_front.go, http_link.go) is one
+// implementation, internal/platform the other. All of it runs on the loop.
+
+// Client is the client's side of one inference. The host calls exactly one method, once, and forgets the client; when
+// the client goes first, its implementation calls Gateway.Left instead and hears nothing.
+type Client interface {
+	// Returned passes on the answer that f holds.
+	Returned(q *Inference, f *Forward)
+	// Shed answers that trying again is harmless, after so many seconds where that may be told; 0 tells nothing.
+	Shed(q *Inference, retryAfter float64)
+	// Failed answers that it did not work out; late tells that the client's time was the reason.
+	Failed(q *Inference, late bool, why string)
+}
+
+// Front takes clients in by one protocol, and makes the links to workers.
+type Front interface {
+	// Link makes the way to a worker; it connects when it is used.
+	Link(w *Worker) Link
+	// Drain takes nothing new in, and ends connections as they become idle.
+	Drain()
+	// Conns is how many connections of clients are open.
+	Conns() int
+	// Held is how many bytes of bodies are held.
+	Held() int64
+}
+
+// Link is the way to one worker: it carries forwards and orders, and tells what became of them by Forward.End and
+// Order.End, later, once each, unless they were cancelled.
+type Link interface {
+	// Forward hands an inference to the worker.
+	Forward(f *Forward)
+	// Cancel gives a forward up: what has not been sent never is, and nothing more is heard of it.
+	Cancel(f *Forward)
+	// Handed is the loop's time when the forward was handed to a connection that is up; 0 before.
+	Handed(f *Forward) float64
+	// Whole tells whether the forward has been handed over so far that it cannot be held back.
+	Whole(f *Forward) bool
+	// Order sends a load order, an unload, a probe or a hello. One that has no answer ends when it is sent.
+	Order(o *Order)
+	// Drop gives an order up: nothing more is heard of it.
+	Drop(o *Order)
+	// CloseIdle closes the connections that carry nothing.
+	CloseIdle()
+	// Abandon ends, as control.Moot and soon, all that has not been sent.
+	Abandon()
+	// Close closes what is idle, and each other connection when it becomes so.
+	Close()
+	// Conns is how many connections there are, Queued how many forwards and orders wait to be sent.
+	Conns() int
+	Queued() int
+}
+
+// Heard is what a worker's answer says beside the answer itself. Crowd is -1 and Fields 0 where not told.
+type Heard struct {
+	Result control.Result
+	Found  control.Found
+	Crowd  int
+	Report [8]float64 // load report by the configured fields
+	Fields int
+	Copies int
+}
+
+// Worker is a worker of the roster with the way to it.
+type Worker struct {
+	*roster.Worker
+	link  Link
+	addr  netip.AddrPort // the link's
+	epoch float64        // the start that the list told when the link was made
+	told  bool           // the decisions have been told of it
+	out   int            // forwards and orders that have not ended
+	hello *Order
+	again timer // asks it once more for its start
+	meter workerMeter
+}
+
+// Forward is one sending of an inference to a worker.
+type Forward struct {
+	Q     *Inference
+	W     *Worker
+	N     int // counted from 0
+	Heard Heard
+	Body  []byte // of the answer, as far as it is held
+	Call  any    // the link's own record; it stays with this one when it is used again
+
+	g      *Gateway
+	made   float64 // when the decisions asked for it
+	timer  timer
+	done   bool
+	barred bool // the link never had it
+	result control.Result
+}
+
+// Done tells whether it has ended.
+func (f *Forward) Done() bool { return f.done }
+
+// End tells how it ended, by a result that Heard or the connection tells; nothing after the first time.
+func (f *Forward) End(r control.Result) { f.g.end(f, r) }
+
+// OrderKind says what an order asks for.
+type OrderKind uint8
+
+const (
+	OrderLoad OrderKind = iota
+	OrderUnload
+	OrderProbe
+	OrderHello // its start, which the answer to a probe tells
+)
+
+// Order is a call to a worker that serves no inference.
+type Order struct {
+	Kind   OrderKind
+	W      *Worker
+	Model  *Model // nil for probes and hellos
+	Copies int
+	Heard  Heard
+	Call   any // the link's own record
+
+	g     *Gateway
+	made  float64
+	timer timer
+	done  bool
+}
+
+// End tells how it ended; nothing after the first time.
+func (o *Order) End(r control.Result) { o.finish(r) }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -62,7 +62,7 @@
 // Status takes a snapshot. On the loop.
 func (g *Gateway) Status() Status {
 	s := Status{Name: g.cfg.Name, Now: g.Loop.Now(), Stopping: g.stopping, Crash: g.exit.Crash, Version: g.Roster.Version,
-		Taken: g.seq, InHand: g.inHand, Connections: g.Loop.Stats.Conns.Load(), Memory: g.budget.Used,
+		Taken: g.seq, InHand: g.inHand, Connections: g.Loop.Stats.Conns.Load(), Memory: g.front.Held(),
 		Workers: []WorkerStatus{}, Hand: []HandStatus{}}
 	views := map[control.WorkerID]control.WorkerView{}
 	var hand []control.HandView
@@ -80,15 +80,15 @@
 		}
 		v := views[r.ID]
 		ws := WorkerStatus{Name: r.Name, Address: r.Addr.String(), State: r.StateName(), From: r.From.String(), Version: r.Version,
-			Heard: r.Heard, Told: w.told, Connections: w.pool.Conns(), Queued: w.pool.Queued(), Out: v.Out, Work: v.Work, Bad: v.Bad,
+			Heard: r.Heard, Told: w.told, Connections: w.link.Conns(), Queued: w.link.Queued(), Out: v.Out, Work: v.Work, Bad: v.Bad,
 			Aside: v.Aside, Report: v.Report, Warm: []string{}}
 		if r.Epoch > 0 {
 			age := s.Now - r.Start
 			ws.Age = &age
 		}
 		for _, m := range v.Warm {
-			if k := g.modelID[m]; k != nil {
-				ws.Warm = append(ws.Warm, k.name)
+			if k := g.models.byID[m]; k != nil {
+				ws.Warm = append(ws.Warm, k.Name)
 			}
 		}
 		s.Workers = append(s.Workers, ws)
@@ -98,7 +98,7 @@
 		if q == nil {
 			continue
 		}
-		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.name, Group: q.model.group.Name, Age: h.Age, Left: h.Left,
+		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.Name, Group: q.model.group.Name, Age: h.Age, Left: h.Left,
 			Forwards: q.n, Out: h.Out, Why: h.Why}
 		if w := g.workers[h.At]; w != nil {
 			hs.At = w.Name
@@ -113,7 +113,7 @@
 
 // logFinal writes one line for a final answer: each at debug level, one of so many at info level. The time split is
 // in seconds: held until its last forward, connect until that was handed to a connection, worker until the answer.
-func (g *Gateway) logFinal(q *inference, a answer, status int, now float64) {
+func (g *Gateway) logFinal(q *Inference, a answer, now float64) {
 	level := zerolog.DebugLevel
 	if n := g.cfg.Log.Sample; n > 0 && q.seq%uint64(n) == 0 {
 		level = zerolog.InfoLevel
@@ -121,8 +121,8 @@
 	if g.log.GetLevel() > level {
 		return
 	}
-	e := g.log.WithLevel(level).Str("inference", string(g.appendID(nil, q))).Str("model", q.model.name).
-		Str("group", q.model.group.Name).Stringer("answer", a).Int("status", status).Int("forwards", q.n)
+	e := g.log.WithLevel(level).Str("inference", string(g.appendID(nil, q))).Str("model", q.model.Name).
+		Str("group", q.model.group.Name).Stringer("answer", a).Int("forwards", q.n)
 	if q.tenant >= 0 {
 		e = e.Str("tenant", g.cfg.Tenants[q.tenant].Name)
 	}
@@ -130,9 +130,9 @@
 	if q.n > 0 {
 		f := q.forwards[q.n-1]
 		held = f.made - q.taken
-		e = e.Str("worker", f.w.Name)
-		if f.call.Peek > 0 {
-			e = e.Float64("connect_s", f.call.Peek-f.made).Float64("worker_s", now-f.call.Peek)
+		e = e.Str("worker", f.W.Name)
+		if at := f.W.link.Handed(f); at > 0 {
+			e = e.Float64("connect_s", at-f.made).Float64("worker_s", now-at)
 		}
 	}
 	e.Float64("held_s", held).Float64("total_s", now-q.taken).Msg("final answer")
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,10 +20,11 @@
 	Config Source = iota
 	File
 	Admin
+	Log // the platform's change log
 	sources
 )
 
-func (s Source) String() string { return [...]string{"config", "file", "admin"}[s] }
+func (s Source) String() string { return [...]string{"config", "file", "admin", "change log"}[s] }
 
 // Entry is a worker as a source names it.
 type Entry struct {
@@ -34,6 +35,9 @@
 	Kind   string
 	Weight float64
 	State  control.WorkerState
+	Told   bool    // the source tells starts: Epoch and Start hold, and the worker is not asked
+	Epoch  float64 // of its latest start, seconds since 1970; 0 for long ago
+	Start  float64 // the same on the dispatcher's clock, -Inf for long ago
 }
 
 // Worker is a worker as all sources together have it.
@@ -41,7 +45,7 @@
 	Entry
 	ID      control.WorkerID
 	Start   float64 // s on the dispatcher's clock of its latest start heard of, -Inf for not told
-	Epoch   float64 // the same as the worker tells it, seconds since 1970; 0 for not told
+	Epoch   float64 // the same as the worker or a list tells it, seconds since 1970; 0 for not told
 	Version uint32  // of the list when it last changed
 	Heard   float64 // s on the dispatcher's clock when that was
 	From    Source  // the source whose word holds
@@ -124,6 +128,30 @@
 	return r.settle(now), nil
 }
 
+// Change sets what a source says of some workers; it goes on naming the others.
+func (r *Roster) Change(s Source, list []Entry, now float64) ([]*Worker, error) {
+	for _, e := range list {
+		if w := r.byID[r.id(e.Name)]; w != nil && w.Name != e.Name {
+			return nil, fmt.Errorf("workers %q and %q have the same id: rename one", w.Name, e.Name)
+		}
+	}
+	for _, e := range list {
+		r.put(s, e)
+	}
+	return r.settle(now), nil
+}
+
+// Forget drops the workers that have been gone since a time and that may be dropped.
+func (r *Roster) Forget(since float64, may func(*Worker) bool) {
+	r.order = slices.DeleteFunc(r.order, func(w *Worker) bool {
+		if w.State != control.Gone || w.Heard >= since || w.ruled || !may(w) {
+			return false
+		}
+		delete(r.byID, w.ID)
+		return true
+	})
+}
+
 func (r *Roster) put(s Source, e Entry) {
 	w := r.byID[r.id(e.Name)]
 	if w == nil {
@@ -200,7 +228,10 @@
 			state, w.From = w.ruling, Admin
 		}
 		w.State = state
-		w.held = state == control.Ready && (w.held || known && was.State != control.Ready)
+		if w.Told {
+			w.Epoch, w.Start = w.Entry.Epoch, w.Entry.Start
+		}
+		w.held = !w.Told && state == control.Ready && (w.held || known && was.State != control.Ready)
 		if w.current = r.info(w); w.current != was || w.Listed != listed || addr != w.Addr {
 			changed = append(changed, w)
 		}
