--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,15 +12,17 @@
 
 	"mastchute/internal/app"
 	"mastchute/internal/config"
+	"mastchute/internal/platform"
 )
 
 type commands struct {
-	Serve   serveCmd   `cmd:"" help:"Run a dispatcher by a settings file."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file and say what is wrong, with line and column."`
-	Demo    demoCmd    `cmd:"" help:"Run a dispatcher and three stand-in workers on loopback."`
-	Standin standinCmd `cmd:"" help:"Run stand-in workers on loopback."`
-	Lab     labCmd     `cmd:"" help:"Play days, and measure."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve    serveCmd    `cmd:"" help:"Run a dispatcher by a settings file."`
+	Platform platformCmd `cmd:"" help:"Run a dispatcher on the operators' platform, as LB_CONFIG says."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file and say what is wrong, with line and column."`
+	Demo     demoCmd     `cmd:"" help:"Run a dispatcher and three stand-in workers on loopback."`
+	Standin  standinCmd  `cmd:"" help:"Run stand-in workers on loopback."`
+	Lab      labCmd      `cmd:"" help:"Play days, and measure."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print what to add to a shell's start file for completion."`
 }
@@ -31,6 +33,10 @@
 
 func (c *serveCmd) Run() error { return code(app.Serve(c.Config, os.Stderr)) }
 
+type platformCmd struct{}
+
+func (platformCmd) Run() error { return code(platform.Run(os.Stderr)) }
+
 type checkCmd struct {
 	Config  string `arg:"" type:"existingfile" help:"Settings file (YAML)."`
 	Workers bool   `help:"The file is a list of workers, as roster.file names one."`
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -364,6 +364,9 @@
 			Uint32("version", r.Version).Stringer("from", r.From).Msg("worker listed")
 		if r.State != control.Ready {
 			w.link.Abandon() // what waits for a connection there must not be sent now
+			if r.State == control.Gone {
+				w.link.CloseIdle()
+			}
 		}
 		if w.told || r.Told {
 			w.told = true
--- a/internal/gateway/http_link.go
+++ b/internal/gateway/http_link.go
@@ -141,7 +141,7 @@
 		b = append(b, v...)
 		b = append(b, "\r\n"...)
 	}
-	if !key && q.model.group.Effect != "retriable" { // a mark of our own, good for our own further forwards
+	if !key && q.group.Effect != "retriable" { // a mark of our own, good for our own further forwards
 		b = append(b, "Idempotency-Key: "...)
 		b = g.appendID(b, q)
 		b = append(b, "\r\n"...)
@@ -153,7 +153,7 @@
 	b = append(b, "\r\nMastchute-Dispatcher: "...)
 	b = append(b, g.cfg.Name...)
 	b = append(b, "\r\nMastchute-Group: "...)
-	b = append(b, q.model.group.Name...)
+	b = append(b, q.group.Name...)
 	b = append(b, "\r\nMastchute-Timeout: "...)
 	b = appendSeconds(b, math.Max(0.001, q.notAfter-g.Loop.Now()))
 	b = append(b, "\r\n"...)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -98,7 +98,7 @@
 		if q == nil {
 			continue
 		}
-		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.Name, Group: q.model.group.Name, Age: h.Age, Left: h.Left,
+		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.Name, Group: q.group.Name, Age: h.Age, Left: h.Left,
 			Forwards: q.n, Out: h.Out, Why: h.Why}
 		if w := g.workers[h.At]; w != nil {
 			hs.At = w.Name
@@ -122,7 +122,7 @@
 		return
 	}
 	e := g.log.WithLevel(level).Str("inference", string(g.appendID(nil, q))).Str("model", q.model.Name).
-		Str("group", q.model.group.Name).Stringer("answer", a).Int("forwards", q.n)
+		Str("group", q.group.Name).Stringer("answer", a).Int("forwards", q.n)
 	if q.tenant >= 0 {
 		e = e.Str("tenant", g.cfg.Tenants[q.tenant].Name)
 	}
--- a/internal/gateway/taking.go
+++ b/internal/gateway/taking.go
@@ -28,6 +28,7 @@
 	id       control.InferenceID
 	seq      uint64
 	model    *Model
+	group    *group
 	tenant   int
 	taken    float64
 	notAfter float64
@@ -52,20 +53,20 @@
 // Serving tells whether inferences are taken: not while stopping, nor after the decisions failed.
 func (g *Gateway) Serving() bool { return !g.stopping && g.module != nil }
 
-// Take takes an inference: from here on its client is owed one final answer. in says what the client told; what it did
-// not is the model's. tenant is -1 where none is told.
+// Take takes an inference: from here on its client is owed one final answer. in says what the client told and the model's
+// group; tenant is -1 where none is told.
 func (g *Gateway) Take(c Client, m *Model, tenant int, in control.Inference) *Inference {
 	now := g.Loop.Now()
 	q := g.take()
-	q.Client, q.model, q.taken, q.tenant = c, m, now, tenant
+	q.Client, q.model, q.group, q.taken, q.tenant = c, m, g.groups[in.Group], now, tenant
 	m.refs++
-	span := math.Min(m.group.Timeout.Seconds, in.NotAfter-now)
+	span := math.Min(q.group.Timeout.Seconds, in.NotAfter-now)
 	q.notAfter = now + span
-	in.ID, in.Model, in.Group, in.Tenant = q.id, m.ID, m.group.index, math.MaxUint16
+	in.ID, in.Model, in.Tenant = q.id, m.ID, math.MaxUint16
 	if tenant >= 0 {
 		in.Tenant = control.TenantID(tenant)
 	}
-	m.group.meter.taken.Inc()
+	q.group.meter.taken.Inc()
 	g.Loop.Start(&q.timer, span)
 	g.begin()
 	g.inference(&in)
@@ -185,7 +186,7 @@
 func (g *Gateway) close(q *Inference, a answer) {
 	q.final = true
 	now := g.Loop.Now()
-	q.model.group.meter.final(a, now-q.taken)
+	q.group.meter.final(a, now-q.taken)
 	g.logFinal(q, a, now)
 	for _, f := range q.forwards[:q.n] {
 		if !f.done && !f.W.link.Whole(f) {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -88,6 +88,17 @@
 	c.mark()
 }
 
+// Retract takes queued bytes back, from one position to another as Queued counted them. It returns false, and takes
+// nothing back, where some have gone to the kernel. What was queued behind them moves up.
+func (c *Conn) Retract(from, to uint64) bool {
+	if c.fd < 0 || c.linger || from < c.total || to > c.Queued() || from > to {
+		return false
+	}
+	i, j := c.sent+int(from-c.total), c.sent+int(to-c.total)
+	c.out = append(c.out[:i], c.out[j:]...)
+	return true
+}
+
 func (c *Conn) mark() {
 	if !c.dirty && c.up {
 		c.dirty = true
--- /dev/null
+++ b/internal/platform/changelog.go
@@ -0,0 +1,228 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/netip"
+	"strconv"
+
+	"mastchute/control"
+	"mastchute/internal/gateway"
+	"mastchute/internal/h1"
+	"mastchute/internal/http1"
+	"mastchute/internal/loop"
+	"mastchute/internal/roster"
+)
+
+const (
+	pollWait  = 1.0     // s that a poll asks the change log to wait: what goes silent is noticed that much later
+	pollSlack = 0.3     // s for the answer beyond that
+	pollLeast = 0.02    // s from one poll to the next at least, so that quick empty answers are no busy loop
+	pollFirst = 0.05    // s until the next after one that failed; doubles
+	pollMost  = 1.0     // s, the most of it
+	pollBody  = 4 << 20 // bytes of an answer that are read
+)
+
+// Changes are events of the change log.
+type Changes struct {
+	Seq     int64    `json:"seq"`
+	Results []Change `json:"results"`
+}
+
+// Change is one event; of those without workers nothing is needed.
+type Change struct {
+	Seq   int64 `json:"seq"`
+	Fleet *struct {
+		Complete bool     `json:"complete"`
+		Members  []Member `json:"members"`
+	} `json:"fleet"`
+}
+
+// Member is one worker as the change log tells it.
+type Member struct {
+	ID      string  `json:"id"`
+	Address string  `json:"host_port"`
+	Zone    string  `json:"locality"`
+	Kind    string  `json:"flavor"`
+	Cell    int64   `json:"cell"`
+	State   string  `json:"phase"`
+	Weight  float64 `json:"size"`
+	Start   float64 `json:"up_since_ms"`
+}
+
+var states = map[string]control.WorkerState{"active": control.Ready, "leaving": control.Draining, "left": control.Gone}
+
+// entry turns a member into an entry of the roster; epoch is the Unix time of the loop's second 0.
+func (m *Member) entry(epoch float64) (roster.Entry, error) {
+	state, ok := states[m.State]
+	if !ok || m.ID == "" {
+		return roster.Entry{}, errors.New("a worker without an id, or in a state that is not known")
+	}
+	e := roster.Entry{Name: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: strconv.FormatInt(m.Cell, 10), Weight: m.Weight, State: state,
+		Told: true, Start: math.Inf(-1)}
+	if m.Start > 0 {
+		e.Epoch = m.Start / 1e3
+		e.Start = e.Epoch - epoch
+	}
+	var err error
+	if e.Addr, err = netip.ParseAddrPort(m.Address); err != nil && state != control.Gone {
+		return e, err
+	}
+	return e, nil
+}
+
+// feed follows the change log by long polls, from the last event heard.
+type feed struct {
+	g     *gateway.Gateway
+	l     *loop.Loop
+	pool  *h1.Pool
+	call  h1.Call
+	head  []byte
+	body  []byte
+	over  bool // the answer is too long, or not good
+	last  int64
+	gap   float64
+	asked float64
+	epoch float64
+	timer loop.Timer // the next poll, or the end of this one's time
+	out   bool
+	told  func(why string) // counts what went wrong
+}
+
+func newFeed(g *gateway.Gateway, told func(string)) *feed {
+	f := &feed{g: g, l: g.Loop, told: told}
+	f.epoch = float64(f.l.Origin().UnixNano()) / 1e9
+	f.call.Caller = f
+	f.timer.Fire = f.fire
+	return f
+}
+
+// follow polls at an address from now on.
+func (f *feed) follow(at netip.AddrPort) {
+	if f.pool != nil {
+		f.call.Cancel()
+		f.pool.Close()
+	}
+	f.pool = h1.NewPool(f.l, at, h1.PoolOptions{Conns: 1, Idle: 1, IdleTimeout: pollMost, ConnectTimeout: pollMost})
+	f.gap, f.out = 0, false
+	f.ask()
+}
+
+func (f *feed) stop() {
+	f.l.Cancel(&f.timer)
+	if f.pool != nil {
+		f.call.Cancel()
+		f.pool.Close()
+	}
+	f.out = false
+}
+
+func (f *feed) ask() {
+	b := append(f.head[:0], "/changes?since="...)
+	b = strconv.AppendInt(b, f.last, 10)
+	b = append(b, "&timeout="...)
+	b = strconv.AppendInt(b, int64(pollWait*1e3), 10)
+	b = http1.AppendRequest(nil, "GET", string(b))
+	b = append(b, "Host: "...)
+	b = f.pool.Addr.AppendTo(b)
+	f.head = append(b, "\r\n\r\n"...)
+	f.body, f.over, f.asked, f.out = f.body[:0], false, f.l.Now(), true
+	f.l.Start(&f.timer, pollWait+pollSlack)
+	f.pool.Do(&f.call, f.head, nil)
+}
+
+func (f *feed) fire() {
+	if f.out { // silence
+		f.told("change_log_silent")
+		f.call.Cancel()
+		f.again(true)
+		return
+	}
+	f.ask()
+}
+
+// again sets the next poll.
+func (f *feed) again(failed bool) {
+	f.out = false
+	if failed {
+		f.gap = math.Min(pollMost, math.Max(pollFirst, 2*f.gap))
+	} else {
+		f.gap = 0
+	}
+	f.l.Start(&f.timer, math.Max(f.gap, pollLeast-(f.l.Now()-f.asked)))
+}
+
+// Head implements h1.Caller.
+func (f *feed) Head(h *http1.Head) { f.over = h.Status != 200 }
+
+// Body implements h1.Caller.
+func (f *feed) Body(b []byte) {
+	if len(f.body)+len(b) > pollBody {
+		f.over = true
+	}
+	if !f.over {
+		f.body = append(f.body, b...)
+	}
+}
+
+// End implements h1.Caller.
+func (f *feed) End(err error) {
+	var c Changes
+	if err == nil && f.over {
+		err = errors.New("an answer that is not good")
+	}
+	if err == nil {
+		err = json.Unmarshal(f.body, &c)
+	}
+	if cap(f.body) > 64<<10 {
+		f.body = nil
+	}
+	if err == nil {
+		err = f.take(&c)
+	}
+	if err != nil {
+		f.told("change_log_failed")
+		f.g.ListFailed(err)
+	}
+	f.again(err != nil)
+}
+
+// take applies the events not heard yet, in order, each once.
+func (f *feed) take(c *Changes) error {
+	for i := range c.Results {
+		e := &c.Results[i]
+		if e.Seq <= f.last {
+			continue
+		}
+		if e.Fleet != nil {
+			list, err := entries(e.Fleet.Members, f.epoch)
+			if err != nil {
+				return err
+			}
+			if e.Fleet.Complete {
+				err = f.g.Replace(roster.Log, list)
+			} else {
+				err = f.g.Change(roster.Log, list)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		f.last = e.Seq
+	}
+	f.last = max(f.last, c.Seq)
+	return nil
+}
+
+func entries(list []Member, epoch float64) ([]roster.Entry, error) {
+	var out []roster.Entry
+	for i := range list {
+		e, err := list[i].entry(epoch)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,134 @@
+// Package platform runs a dispatcher on the operators' platform: its clients, its connections to workers, the change log,
+// the configuration file and the signals. It is one more way in and out of the host in internal/gateway, on the project's
+// own loop, and decides nothing about inferences.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"mastchute/control"
+	"mastchute/internal/config"
+	"mastchute/internal/wire"
+)
+
+const (
+	configMost   = 4 << 20 // bytes of the configuration file that are read
+	reserved     = 24      // descriptors kept for the listener, the change log, logs, the loop and the runtime
+	clientParts  = 2       // clients get one part in so many of the descriptors: one in three is the platform's promise
+	heapShare    = 0.55    // of the memory limit that Go may fill before it collects all the time; the rest is the program
+	bodyShare    = 0.25    // of the memory limit that bodies in hand may take
+	eachInHand   = 6 << 10 // bytes that an inference in hand takes beside its body
+	handShare    = 0.15    // of the memory limit that inferences in hand may take so
+	eachModel    = 1 << 10 // bytes that a model in use takes, here and in the decisions
+	modelShare   = 0.1     // of the memory limit that models may take
+	streamsUsual = 32      // forwards on a connection where the settings tell nothing
+)
+
+// File is the configuration that the platform hands to a dispatcher.
+type File struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	ChangeLog string          `json:"changelog"`
+	Known     Changes         `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+
+	listen, changeLog netip.AddrPort
+	seed              uint64
+	set               control.Settings
+	zones             map[string]bool
+}
+
+// ReadFile reads and checks the configuration.
+func ReadFile(path string) (*File, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > configMost {
+		return nil, fmt.Errorf("%s has %d bytes; %d at most are read", path, info.Size(), configMost)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f, err := parseFile(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+func parseFile(text []byte) (*File, error) {
+	f := &File{}
+	err := json.Unmarshal(text, f)
+	if err != nil {
+		return nil, err
+	}
+	if f.listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if f.changeLog, err = netip.ParseAddrPort(f.ChangeLog); err != nil {
+		return nil, fmt.Errorf("changelog: %w", err)
+	}
+	if f.seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if f.Limits.MemoryMB < 1 || f.Limits.Sockets < 2*reserved {
+		return nil, fmt.Errorf("limits: %g MB and %d descriptors are too few", f.Limits.MemoryMB, f.Limits.Sockets)
+	}
+	if f.set, err = wire.Settings(f.Settings); err != nil {
+		return nil, err
+	}
+	if f.set.Num("groups", 0) < 1 {
+		return nil, errors.New("settings: there is no model group")
+	}
+	return f, nil
+}
+
+// host is what the host needs of the settings.
+func (f *File) host() *config.Config {
+	c := config.Default()
+	s := f.set
+	c.Name, c.Log.Sample = f.Name, 0
+	c.Roster.Discovery = "push"
+	if s.Text("discovery") == "ask" {
+		c.Roster.Discovery = "ask"
+	}
+	for i := range int(s.Num("groups", 0)) {
+		at := "groups." + strconv.Itoa(i) + "."
+		c.Groups = append(c.Groups, config.Group{Name: s.Text(at + "name"), Effect: s.Text(at + "effect"), Scope: s.Text(at + "scope"),
+			Window: config.S(s.Num(at+"window", 0)), SLO: config.S(s.Num(at+"slo", 1)), Timeout: config.S(s.Num(at+"timeout", 60))})
+	}
+	for i := range int(s.Num("tenants", 0)) {
+		c.Tenants = append(c.Tenants, config.Tenant{Name: s.Text("tenants." + strconv.Itoa(i) + ".name")})
+	}
+	c.Report = nil
+	for i := range int(s.Num("load_report.fields", 0)) {
+		c.Report = append(c.Report, s.Text("load_report.fields."+strconv.Itoa(i)))
+	}
+	c.Loads.Timeout = config.S(s.Num("models.order_timeout", c.Loads.Timeout.Seconds))
+	c.Limits.Inferences = min(int(s.Num("limits.open_cap", 20000)), int(f.Limits.MemoryMB*(1<<20)*handShare/eachInHand))
+	c.Limits.ConnectTimeout = config.S(s.Num("limits.connect_timeout", c.Limits.ConnectTimeout.Seconds))
+	c.Limits.WorkerIdleTimeout = config.S(s.Num("limits.conn_idle", c.Limits.WorkerIdleTimeout.Seconds))
+	return &c
+}
+
+// slo and timeout are the longest of the groups'.
+func (f *File) timeout() float64 {
+	most := 0.0
+	for i := range int(f.set.Num("groups", 0)) {
+		most = max(most, f.set.Num("groups."+strconv.Itoa(i)+".timeout", 0))
+	}
+	return most
+}
--- /dev/null
+++ b/internal/platform/run.go
@@ -0,0 +1,154 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"mastchute/control"
+	"mastchute/internal/app"
+	"mastchute/internal/config"
+	"mastchute/internal/gateway"
+	"mastchute/internal/loop"
+	"mastchute/internal/roster"
+)
+
+const (
+	stopServe = 0.75 // s after SIGTERM in which all goes on: clients come for so long
+	stopSlack = 0.2  // s beyond the longest timeout until what is in hand is failed
+)
+
+// Dispatcher is one on the platform.
+type Dispatcher struct {
+	Gateway *gateway.Gateway
+	Loop    *loop.Loop
+	front   *front
+	feed    *feed
+	log     zerolog.Logger
+	timeout float64
+	stop    loop.Timer
+	told    loop.Timer // tells now and then what was refused
+	before  map[string]int
+	ended   chan error
+}
+
+// New makes a dispatcher by its configuration. Run its loop to serve.
+func New(f *File, log zerolog.Logger) (*Dispatcher, error) {
+	l, err := loop.New(0)
+	if err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{Loop: l, log: log, timeout: f.timeout(), before: map[string]int{}, ended: make(chan error, 1)}
+	o := gateway.Options{Config: f.host(), Settings: f.set, Seed: f.seed, Source: roster.Log,
+		Models: int(f.Limits.MemoryMB * (1 << 20) * modelShare / eachModel)}
+	o.Front = func(g *gateway.Gateway) (gateway.Front, error) {
+		p, err := newFront(g, f)
+		d.front = p
+		return p, err
+	}
+	d.Gateway, err = gateway.NewHost(l, o, log, func(seed uint64, s control.Settings, a control.Actions) control.Module {
+		return control.New(seed, s, a)
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.feed = newFeed(d.Gateway, d.front.refuse)
+	l.Later(func() {
+		if err := d.feed.take(&f.Known); err != nil {
+			log.Error().Err(err).Msg("the list of workers in the configuration was not taken")
+		}
+		d.feed.follow(f.changeLog)
+	})
+	d.stop.Fire = func() { d.Gateway.Stop(d.timeout + stopSlack) }
+	d.told.Fire = d.tell
+	l.Later(func() { l.Start(&d.told, 5) })
+	return d, nil
+}
+
+// tell logs what was refused since it was told last.
+func (d *Dispatcher) tell() {
+	e := d.log.Info()
+	news := false
+	for why, n := range d.front.refused {
+		if n != d.before[why] {
+			e, news = e.Int(why, n), true
+			d.before[why] = n
+		}
+	}
+	if news {
+		e.Msg("refused or dropped so far, by reason")
+	}
+	d.Loop.Start(&d.told, 5)
+}
+
+// Reload takes a new configuration in service: the change log's address, and what it knows.
+func (d *Dispatcher) Reload(f *File) {
+	d.log.Info().Str("change_log", f.ChangeLog).Msg("configuration read anew")
+	if err := d.feed.take(&f.Known); err != nil {
+		d.log.Error().Err(err).Msg("the list of workers in the configuration was not taken")
+	}
+	d.feed.follow(f.changeLog)
+}
+
+// Stop goes on for a while, then answers what is in hand and ends the loop.
+func (d *Dispatcher) Stop() {
+	if d.front.leaving {
+		return
+	}
+	d.front.leaving = true
+	d.log.Info().Int("in_hand", d.Gateway.InHand()).Msg("told to stop")
+	d.Loop.Start(&d.stop, stopServe)
+}
+
+// Run runs a dispatcher by the platform's environment until it is told to stop, and returns the exit code.
+func Run(out io.Writer) int {
+	path := os.Getenv("LB_CONFIG")
+	f, err := ReadFile(path)
+	if err != nil {
+		fmt.Fprintln(out, "mastchute: LB_CONFIG:", err)
+		return app.ExitError
+	}
+	debug.SetMemoryLimit(int64(f.Limits.MemoryMB * (1 << 20) * heapShare))
+	debug.SetGCPercent(50)
+	runtime.GOMAXPROCS(1)
+	log, flush := app.Logger(config.Log{Level: "info", Format: "json"}, out)
+	defer flush()
+	sig := make(chan os.Signal, 8)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(sig)
+	d, err := New(f, log)
+	if err != nil {
+		fmt.Fprintln(out, "mastchute:", err)
+		return app.ExitError
+	}
+	go func() { d.ended <- d.Loop.Run() }()
+	log.Info().Str("name", f.Name).Str("listen", f.Listen).Float64("memory_mb", f.Limits.MemoryMB).Int("sockets", f.Limits.Sockets).
+		Float64("cores", math.Round(f.Limits.Cores*100)/100).Msg("serving")
+	for {
+		select {
+		case err := <-d.ended:
+			if exit := d.Gateway.Exit(); err != nil || exit.Crash != "" {
+				return app.ExitCrash
+			}
+			return app.ExitOK
+		case s := <-sig:
+			if s != syscall.SIGHUP {
+				d.Loop.Post(d.Stop)
+				continue
+			}
+			n, err := ReadFile(path)
+			if err != nil {
+				log.Error().Err(err).Msg("configuration not read; the old one stays in force")
+				continue
+			}
+			d.Loop.Post(func() { d.Reload(n) })
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -26,9 +26,9 @@
 	"discovery": {"automatic": "push", "subscribe": "ask"},
 }
 
-// settings reads the settings text into a flat map: dotted names, list places as numbers, spans in
+// Settings reads the settings text, a JSON object, into a flat map: our names, dotted, list places as numbers, spans in
 // seconds, and the length of each list under its own name.
-func settings(text []byte) (control.Settings, error) {
+func Settings(text []byte) (control.Settings, error) {
 	var root map[string]any
 	if err := json.Unmarshal(text, &root); err != nil {
 		return nil, fmt.Errorf("settings are not a JSON object: %w", err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -179,7 +179,7 @@
 		if rd.err != nil {
 			return rd.err
 		}
-		s, err := settings(text)
+		s, err := Settings(text)
 		if err != nil {
 			return err
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -124,7 +124,7 @@
 }
 
 func TestSettingsInOurWords(t *testing.T) {
-	s, err := settings([]byte(`{"request_classes":[{"aim_us":500000,"effect":"token","group":"cell"}],
+	s, err := Settings([]byte(`{"request_classes":[{"aim_us":500000,"effect":"token","group":"cell"}],
 		"limits":{"max_attempts":6},"family_info":{"stays_loaded_us":8000000,"memory_mb_by_kind":[4]},"new_key":null}`))
 	if err != nil || s["groups"] != 1.0 || s["groups.0.slo"] != 0.5 || s["groups.0.effect"] != "deduped" ||
 		s["groups.0.scope"] != "cell" || s["limits.max_forwards"] != 6.0 || s["models.keep"] != 8.0 {
