--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -327,11 +327,17 @@
 // SetLog changes the log in service.
 func (g *Gateway) SetLog(log zerolog.Logger, sample int) { g.log, g.cfg.Log.Sample = log, sample }
 
-// forget drops what is long gone: models nobody asks for, workers taken off the list.
+// forget drops what is long gone, now and then.
 func (g *Gateway) forget() {
 	now := g.Loop.Now()
-	g.models.forget(now-modelIdle, math.MaxInt)
-	g.Roster.Forget(now-goneLong, func(r *roster.Worker) bool {
+	g.Forget(now - goneLong)
+	g.Loop.Start(&g.forgetTimer, forgetEvery)
+}
+
+// Forget drops models nobody has asked for, and workers taken off the list, since a time.
+func (g *Gateway) Forget(since float64) {
+	g.models.forget(since, math.MaxInt)
+	g.Roster.Forget(since, func(r *roster.Worker) bool {
 		w := g.workers[r.ID]
 		if w == nil {
 			return true
@@ -343,5 +349,7 @@
 		g.Metrics.forget(r.Name)
 		return true
 	})
-	g.Loop.Start(&g.forgetTimer, forgetEvery)
 }
+
+// Models is how many models are in use of late.
+func (g *Gateway) Models() int { return len(g.models.byID) }
