Decisions: a share of the width no longer idles workers where there are three dispatchers

Counters by reason in the module (not kept) showed inferences held for room at width 4 with no copy in sight, until pending loads, counted one after the other, let one more begin. At fault: width() dividing 12 by the dispatchers as if their peaks fell together; least() counting loads one after the other; a tie band of one load time, whose queue counts each fellow's work too, so that homes did not hold; join() comparing undivided run time with a load.

--- a/control/control.go
+++ b/control/control.go
@@ -32,18 +32,19 @@
 	roomPause    = 1.0  // s without load orders of a model after one found no room
 	coldSafety   = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	widthAll     = 12.0 // forwards of all dispatchers out at a worker: 8 lost with few of them, 16 at two sites
+	widthAll     = 12.0 // forwards out at a worker for a dispatcher alone: 8 lost with few of them, 16 at two sites
 	widthLeast   = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
 	giveWay      = 0.25 // of the SLO time: how much younger one held must be for an older one to give way to it
 	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
 	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
-	tieBand      = 1.0  // load times: costs nearer are ties; 0.5 lost at all sites, 1.5 at one
+	tieBand      = 3.0  // load times: costs nearer are ties; 1 lost where loads are scarce, 8 at one site
 	tieWarm      = 2.0  // run times: costs of warm copies nearer than that are ties
 	reportSpan   = 10.0 // s in which a report loses two thirds of its weight; 4 lost 0.03 to 0.07
 	reportBlend  = 0.5  // weight of a new report of a worker
 	probeHomes   = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
 	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
 	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
+	loadsBeside  = 2.0  // loads a worker does beside each other at least: told nowhere; 4 no better, 1 lost
 	atOnce       = 4.0  // inferences a worker does at once unslowed: cores are told nowhere; 2 lost at one site
 	homeSpan     = 20.0 // s over which inferences taken are counted: popularity lasts about as long
 	homeShare    = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
@@ -304,8 +305,8 @@
 	w.held, w.heldAt = w.held+weight*(held-w.held), d.now
 }
 
-// join returns the place with an open group that this inference may join: under the limit, and own
-// requests there take less than a load would; of several, where they take least.
+// join returns the place with an open group that this inference may join: under the limit, and the wait
+// there is less than a load would be; of several, where own work is least.
 func (d *Dispatcher) join(r *inference) *place {
 	var best *place
 	for _, pl := range r.model.groups() {
@@ -314,7 +315,7 @@
 		}
 		w := pl.worker
 		wait := d.queue(w) + float64(pl.waiting)*r.model.run
-		if r.tried(w) || wait >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
+		if r.tried(w) || wait/atOnce >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
 			d.now+wait/atOnce+math.Min(r.model.run, r.group.slo)/2 > r.notAfter {
 			continue
 		}
@@ -331,7 +332,8 @@
 // width is how many own forwards a worker may have out. Inferences that can no longer be in time, or are
 // beyond their tenant's share, leave part of it to the others.
 func (d *Dispatcher) width(r *inference) float64 {
-	limit := max(widthLeast, widthAll/d.fellows)
+	// Fellows' peaks do not fall together: a plain share would idle workers while inferences are held here.
+	limit := max(widthLeast, widthAll/math.Sqrt(d.fellows))
 	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
 		limit *= staleShare
 	}
@@ -424,7 +426,7 @@
 			if w.hot = pl.warm >= d.now || w.home == d.looks; !w.hot {
 				// Loads run beside the work of warm copies: those pending hold up only another load.
 				w.cost += m.load + w.loads
-				if warmOnly || pl.noRoom > d.now || w.noLoad > d.now || d.now+w.loads > r.notAfter {
+				if warmOnly || pl.noRoom > d.now || w.noLoad > d.now || d.now+w.loads/loadsBeside > r.notAfter {
 					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
 				}
 			}
