Decisions: a home that turned a load away is waited for, and workers of short inferences get room

At fault: least() left a home that had turned a load away or had loads pending, so models were loaded at second homes, pushed others out, and the fleet only loaded; a rest of up to 2 s after full; 12 forwards at a worker, which is too few where one takes 30 ms of a core.

Tried, not kept: tie band 8 or 30, pending loads at half, giving way at 0.6, stale share 0.5, rest of 0.02 s.

--- a/control/control.go
+++ b/control/control.go
@@ -27,12 +27,12 @@
 	furtherLeast = 0.03 // and while none does, so that success can be seen again
 	furtherMost  = 30.0 // further forwards saved up at most: a short outage of one worker
 	blameSpan    = 5.0  // s within which a worker that did well by others is fit for them: a few own answers
-	crowdPause   = 0.1  // s without new work after a worker turned some away; doubles until it answers
-	crowdMost    = 2.0  // s, the most of it
+	crowdPause   = 0.05 // s without new work after a worker turned some away; doubles until it answers
+	crowdMost    = 0.5  // s, the most of it
 	roomPause    = 1.0  // s without load orders of a model after one found no room
 	coldSafety   = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
 	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	widthAll     = 12.0 // forwards out at a worker for a dispatcher alone: 8 lost with few of them, 16 at two sites
+	widthAll     = 24.0 // forwards of all dispatchers out at a worker: 12 idles quick workers, 36 no better
 	widthLeast   = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
 	giveWay      = 0.25 // of the SLO time: how much younger one held must be for an older one to give way to it
 	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
@@ -44,7 +44,7 @@
 	probeHomes   = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
 	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
 	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
-	loadsBeside  = 2.0  // loads a worker does beside each other at least: told nowhere; 4 no better, 1 lost
+	loadsBeside  = 4.0  // loads a worker does beside each other: told nowhere; 2 idles it, 1 lost
 	atOnce       = 4.0  // inferences a worker does at once unslowed: cores are told nowhere; 2 lost at one site
 	homeSpan     = 20.0 // s over which inferences taken are counted: popularity lasts about as long
 	homeShare    = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
@@ -305,8 +305,8 @@
 	w.held, w.heldAt = w.held+weight*(held-w.held), d.now
 }
 
-// join returns the place with an open group that this inference may join: under the limit, and the wait
-// there is less than a load would be; of several, where own work is least.
+// join returns the place with an open group that this inference may join: under the limit, and own
+// requests there take less than a load would; of several, where they take least.
 func (d *Dispatcher) join(r *inference) *place {
 	var best *place
 	for _, pl := range r.model.groups() {
@@ -315,7 +315,7 @@
 		}
 		w := pl.worker
 		wait := d.queue(w) + float64(pl.waiting)*r.model.run
-		if r.tried(w) || wait/atOnce >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
+		if r.tried(w) || wait >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
 			d.now+wait/atOnce+math.Min(r.model.run, r.group.slo)/2 > r.notAfter {
 			continue
 		}
@@ -332,8 +332,7 @@
 // width is how many own forwards a worker may have out. Inferences that can no longer be in time, or are
 // beyond their tenant's share, leave part of it to the others.
 func (d *Dispatcher) width(r *inference) float64 {
-	// Fellows' peaks do not fall together: a plain share would idle workers while inferences are held here.
-	limit := max(widthLeast, widthAll/math.Sqrt(d.fellows))
+	limit := max(widthLeast, widthAll/d.fellows)
 	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
 		limit *= staleShare
 	}
@@ -425,8 +424,8 @@
 			pl := m.seen(w)
 			if w.hot = pl.warm >= d.now || w.home == d.looks; !w.hot {
 				// Loads run beside the work of warm copies: those pending hold up only another load.
-				w.cost += m.load + w.loads
-				if warmOnly || pl.noRoom > d.now || w.noLoad > d.now || d.now+w.loads/loadsBeside > r.notAfter {
+				w.cost += m.load
+				if warmOnly || d.now+w.loads/loadsBeside > r.notAfter {
 					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
 				}
 			}
@@ -453,7 +452,11 @@
 			best, top = w, h
 		}
 	}
-	if r.hopeless = r.hopeless && best == nil && !resting; best == nil || !d.room(r, best) {
+	r.hopeless = r.hopeless && best == nil && !resting
+	// A home that turned a load away is waited for: left for another, its models are loaded twice, push others
+	// out, and the fleet has more to load than before. It harms where a worker has no room for long.
+	if best == nil || !d.room(r, best) ||
+		r.n == 0 && !best.hot && (m.seen(best).noRoom > d.now || best.noLoad > d.now) {
 		if timely {
 			d.timely = math.Max(d.timely, r.taken)
 		}
