Decisions: who comes too late is told by how many inferences a worker works on together

Counters by reason told that their clients had 0.1 to 0.3 s left; the estimate, own and fellows' queue over the four that run unslowed, was 0.25 s where answers took 0.1 s. At fault: atOnce in join() and least().

--- a/control/control.go
+++ b/control/control.go
@@ -45,6 +45,7 @@
 	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
 	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
 	loadsBeside  = 4.0  // loads a worker does beside each other: told nowhere; 2 idles it, 1 lost
+	slots        = 10.0 // inferences a worker works on together, slowed: tells who comes too late; 4 shed many
 	atOnce       = 4.0  // inferences a worker does at once unslowed: cores are told nowhere; 2 lost at one site
 	homeSpan     = 20.0 // s over which inferences taken are counted: popularity lasts about as long
 	homeShare    = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
@@ -316,7 +317,7 @@
 		w := pl.worker
 		wait := d.queue(w) + float64(pl.waiting)*r.model.run
 		if r.tried(w) || wait >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
-			d.now+wait/atOnce+math.Min(r.model.run, r.group.slo)/2 > r.notAfter {
+			d.now+wait/slots+math.Min(r.model.run, r.group.slo)/2 > r.notAfter {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -393,7 +394,7 @@
 			continue
 		}
 		queue := d.queue(w)
-		end := d.now + queue/atOnce + min(m.run, r.group.slo)/2
+		end := d.now + queue/slots + min(m.run, r.group.slo)/2
 		timely = timely || end <= aim
 		late := end > until // the wait outlasts the client
 		if open := d.open(r, w); !open || late {
