--- /dev/null
+++ b/internal/platform/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package platform
+
+const raceOn = false
