--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -17,6 +17,7 @@
 	"mastchute/control"
 	"mastchute/internal/config"
 	"mastchute/internal/loop"
+	"mastchute/internal/loop/looptest"
 )
 
 // rig is a gateway on loopback with scripted workers.
@@ -199,30 +200,10 @@
 }
 
 // on runs f on the loop.
-func (r *rig) on(f func()) {
-	r.t.Helper()
-	ok := make(chan struct{})
-	r.g.Loop.Post(func() { f(); close(ok) })
-	select {
-	case <-ok:
-	case <-time.After(10 * time.Second):
-		r.t.Fatal("the loop hangs")
-	}
-}
+func (r *rig) on(f func()) { r.t.Helper(); looptest.On(r.t, r.g.Loop, f) }
 
 // until waits for something that is to come about, as seen on the loop.
-func (r *rig) until(what string, f func() bool) {
-	r.t.Helper()
-	for range 2000 {
-		ok := false
-		r.on(func() { ok = f() })
-		if ok {
-			return
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-	r.t.Fatalf("it never came about that %s", what)
-}
+func (r *rig) until(what string, f func() bool) { r.t.Helper(); looptest.Until(r.t, r.g.Loop, what, f) }
 
 // got is an answer as the client's socket carried it.
 type got struct {
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mastchute/internal/loop/looptest"
 	"mastchute/internal/thrift/thrifttest"
 )
 
@@ -266,30 +267,10 @@
 }
 
 // on runs f on the loop.
-func (r *rig) on(f func()) {
-	r.t.Helper()
-	ok := make(chan struct{})
-	r.d.Loop.Post(func() { f(); close(ok) })
-	select {
-	case <-ok:
-	case <-time.After(10 * time.Second):
-		r.t.Fatal("the loop hangs")
-	}
-}
+func (r *rig) on(f func()) { r.t.Helper(); looptest.On(r.t, r.d.Loop, f) }
 
 // until waits for something that is to come about, as seen on the loop.
-func (r *rig) until(what string, f func() bool) {
-	r.t.Helper()
-	for range 5000 {
-		ok := false
-		r.on(func() { ok = f() })
-		if ok {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	r.t.Fatalf("it never came about that %s", what)
-}
+func (r *rig) until(what string, f func() bool) { r.t.Helper(); looptest.Until(r.t, r.d.Loop, what, f) }
 
 // client is one connection of a client.
 type client struct {
