Stop: an answer given in the turn of a drain goes out, and all in hand is answered before the kill

Its answer was written to the connection in the turn in which the stop timer called front.Drain, which saw no open inference and closed the connection (clientConn.end, Conn.Close: what is not flushed is lost). Ruled out by the same probe: requests unread in a lingering connection, messages in part, the backlog. makeRoom closed idle connections in the same way.

TestExitCodes expected a retriable inference to be failed at a second stop: it is shed now, which tells more, and a non-retriable one beside it is failed.

Connections stay open while draining until nothing was in hand or came in for 60 ms; the listen backlog is accepted before the listener closes; what lies unread is read before a close. A start waits up to 20 s for its address, heeds signals from the first line of Run, and a reload names what it does not take over. The change log: entries and events that can't be read are counted and left out, events are sorted, a missing number is asked for once more, retries have jitter, and the latest start heard of a worker holds.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,13 +258,18 @@
 	})
 }
 
-// failAll gives everything in hand its final answer: failed, which promises nothing.
+// failAll gives everything in hand its final answer: at a stop shed where that is true, else failed, which promises
+// nothing.
 func (g *Gateway) failAll(why string) int {
 	n := 0
 	for _, q := range g.slab {
 		if q.live && !q.final {
 			n++
-			g.fail(q, false, why)
+			if g.exit.Crash != "" {
+				g.fail(q, false, why)
+			} else {
+				g.letDown(q, why)
+			}
 			g.begin()
 			if g.module != nil {
 				g.guard(func() { g.module.Withdrawn(q.id) })
@@ -324,6 +329,9 @@
 	return false
 }
 
+// Chance is a number from 0 up to 1, for what dispatchers would else do in step.
+func (g *Gateway) Chance() float64 { return g.rnd.Float64() }
+
 // SetLog changes the log in service.
 func (g *Gateway) SetLog(log zerolog.Logger, sample int) { g.log, g.cfg.Log.Sample = log, sample }
 
--- a/internal/gateway/taking.go
+++ b/internal/gateway/taking.go
@@ -155,6 +155,22 @@
 	}
 }
 
+// letDown gives the final answer at a stop: shed where trying again is harmless, as no forward has run or may or the model
+// group is retriable, else failed.
+func (g *Gateway) letDown(q *Inference, why string) {
+	harmless := q.stream == nil
+	if q.group.Effect != "retriable" {
+		for _, f := range q.forwards[:q.n] {
+			harmless = harmless && (f.done && f.result.NeverRan() || !f.done && !f.W.link.Whole(f))
+		}
+	}
+	if !harmless {
+		g.fail(q, false, why)
+	} else if c := g.final(q, answerShed); c != nil {
+		c.Shed(q, 0)
+	}
+}
+
 // fail gives the final answer that promises nothing.
 func (g *Gateway) fail(q *Inference, late bool, why string) {
 	if c := g.final(q, answerFailed); c != nil {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -161,6 +161,7 @@
 		return
 	}
 	c.linger = true
+	c.l.lingering++
 	c.timer.Fire = c.drop
 	c.l.Start(&c.timer, 30) // for the flush; a peer that reads nothing for that long is cut off
 	c.want(c.interest | unix.EPOLLIN)
@@ -169,6 +170,21 @@
 	c.in = nil
 }
 
+// Poll reads now what the kernel holds, before the turn in which it would be heard: what has come in by the time a
+// connection is closed was sent in time. The handler hears it as ever, and may close the connection.
+func (c *Conn) Poll() {
+	if c.fd >= 0 && c.up && !c.paused && !c.linger {
+		c.read()
+	}
+}
+
+// Flush hands what is written to the kernel now, as far as it takes it.
+func (c *Conn) Flush() {
+	if c.fd >= 0 && c.up {
+		c.flush()
+	}
+}
+
 func (c *Conn) drop() {
 	if c.fd >= 0 {
 		c.l.leave(c.fd)
@@ -184,6 +200,9 @@
 		return
 	}
 	c.h = nil
+	if c.linger {
+		c.l.lingering--
+	}
 	c.l.give(c.in)
 	c.l.give(c.out)
 	c.in, c.out, c.sent, c.up = nil, nil, 0, false
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -54,6 +54,16 @@
 // Addr is the address listened on.
 func (ln *Listener) Addr() netip.AddrPort { return ln.addr }
 
+// Drain accepts all that wait in the listen backlog, and then ends accepting: closing would reset them, and the requests
+// they carry were taken when the kernel completed the connections.
+func (ln *Listener) Drain() {
+	for before := int64(-1); ln.fd >= 0 && !ln.paused && ln.l.Stats.Accepted.Load() != before; {
+		before = ln.l.Stats.Accepted.Load()
+		ln.accept()
+	}
+	ln.Close()
+}
+
 // Close ends accepting; accepted connections live on.
 func (ln *Listener) Close() {
 	if ln.fd >= 0 {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -86,6 +86,7 @@
 	stopped   bool
 	reserve   int // a descriptor kept back to accept and refuse when there are none left
 	conns     int
+	lingering int // of them, those that CloseFlushed ends
 	maxConns  int
 	listeners []*Listener
 }
@@ -147,6 +148,13 @@
 	}
 }
 
+// Lingering is how many connections are being ended by CloseFlushed: their handlers have forgotten them, and each still
+// holds a descriptor.
+func (l *Loop) Lingering() int { return l.lingering }
+
+// Close gives back the descriptors of a loop that never ran.
+func (l *Loop) Close() { l.close() }
+
 // Stop ends Run after the turn in hand. Safe from any goroutine.
 func (l *Loop) Stop() { l.Post(func() { l.stopped = true }) }
 
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"mastchute/control"
@@ -19,23 +22,23 @@
 	pollWait  = 1.0     // s that a poll asks the change log to wait: what goes silent is noticed that much later
 	pollSlack = 0.3     // s for the answer beyond that
 	pollLeast = 0.02    // s from one poll to the next at least, so that quick empty answers are no busy loop
-	pollFirst = 0.05    // s until the next after one that failed; doubles
+	pollFirst = 0.05    // s of backoff after one that failed, less jitter; doubles
 	pollMost  = 1.0     // s, the most of it
 	pollBody  = 4 << 20 // bytes of an answer that are read
 )
 
 // Changes are events of the change log.
 type Changes struct {
-	Seq     int64    `json:"seq"`
-	Results []Change `json:"results"`
+	Seq     int64             `json:"seq"`
+	Results []json.RawMessage `json:"results"` // each a Change: one that can't be read spares the others
 }
 
 // Change is one event; of those without workers nothing is needed.
 type Change struct {
 	Seq   int64 `json:"seq"`
 	Fleet *struct {
-		Complete bool     `json:"complete"`
-		Members  []Member `json:"members"`
+		Complete bool              `json:"complete"`
+		Members  []json.RawMessage `json:"members"` // each a Member
 	} `json:"fleet"`
 }
 
@@ -82,6 +85,7 @@
 	body  []byte
 	over  bool // the answer is too long, or not good
 	last  int64
+	lost  int64 // the event that was missing when it was asked for last
 	gap   float64
 	asked float64
 	epoch float64
@@ -150,7 +154,8 @@
 	} else {
 		f.gap = 0
 	}
-	f.l.Start(&f.timer, math.Max(f.gap, pollLeast-(f.l.Now()-f.asked)))
+	jitter := 0.5 + 0.5*f.g.Chance() // after an outage all dispatchers would ask in step
+	f.l.Start(&f.timer, math.Max(f.gap*jitter, pollLeast-(f.l.Now()-f.asked)))
 }
 
 // Head implements h1.Caller.
@@ -188,41 +193,95 @@
 	f.again(err != nil)
 }
 
-// take applies the events not heard yet, in order, each once.
+// take applies the events not heard yet, in order, each once. What can't be read in one of them is counted, logged and
+// left out, since it would come again for ever. Where a number is missing the log is asked once more before it is
+// passed over.
 func (f *feed) take(c *Changes) error {
-	for i := range c.Results {
-		e := &c.Results[i]
+	var events []Change
+	for _, raw := range c.Results {
+		var e Change
+		if err := json.Unmarshal(raw, &e); err != nil {
+			var n struct{ Seq int64 }
+			if json.Unmarshal(raw, &n) != nil {
+				f.skipped("change_log_event", err)
+				continue
+			}
+			if e = (Change{Seq: n.Seq}); n.Seq > f.last {
+				f.skipped("change_log_event", err)
+			}
+		}
+		events = append(events, e)
+	}
+	slices.SortStableFunc(events, func(a, b Change) int { return cmp.Compare(a.Seq, b.Seq) })
+	for i := range events {
+		e := &events[i]
 		if e.Seq <= f.last {
 			continue
 		}
+		whole := e.Fleet != nil && e.Fleet.Complete
+		if err := f.missing(e.Seq-1, whole || f.last == 0); err != nil {
+			return err
+		}
 		if e.Fleet != nil {
-			list, err := entries(e.Fleet.Members, f.epoch)
-			if err != nil {
-				return err
-			}
-			if e.Fleet.Complete {
-				err = f.g.Replace(roster.Log, list)
-			} else {
-				err = f.g.Change(roster.Log, list)
-			}
-			if err != nil {
-				return err
-			}
+			f.apply(e)
 		}
 		f.last = e.Seq
 	}
-	f.last = max(f.last, c.Seq)
+	return f.missing(c.Seq, false)
+}
+
+// missing is called before the events after number n are taken. An event not heard up to there is an error the first
+// time, so that the log is asked again from it; the second time it is taken as lost.
+func (f *feed) missing(n int64, passes bool) error {
+	if n <= f.last {
+		return nil
+	}
+	if first := f.last + 1; !passes && f.lost != first {
+		f.lost = first
+		return fmt.Errorf("event %d of the change log is missing", first)
+	}
+	f.last = n
 	return nil
 }
 
-func entries(list []Member, epoch float64) ([]roster.Entry, error) {
-	var out []roster.Entry
-	for i := range list {
-		e, err := list[i].entry(epoch)
+// apply hands one event to the roster.
+func (f *feed) apply(e *Change) {
+	var list []roster.Entry
+	at := map[string]int{}
+	for _, raw := range e.Fleet.Members {
+		var m Member
+		err := json.Unmarshal(raw, &m)
+		var entry roster.Entry
+		if err == nil {
+			entry, err = m.entry(f.epoch)
+		}
 		if err != nil {
-			return nil, err
+			f.skipped("change_log_entry", err)
+			var named struct{ ID string }
+			json.Unmarshal(raw, &named)
+			w := f.g.Roster.Named(named.ID) // the list names it still: it stays as it is
+			if w == nil || !w.Listed {
+				continue
+			}
+			entry = w.Entry
+		}
+		if i, twice := at[entry.Name]; twice {
+			list[i] = entry
+			continue
 		}
-		out = append(out, e)
+		at[entry.Name] = len(list)
+		list = append(list, entry)
+	}
+	take := f.g.Change
+	if e.Fleet.Complete {
+		take = f.g.Replace
+	}
+	if err := take(roster.Log, list); err != nil {
+		f.skipped("change_log_event", err)
 	}
-	return out, nil
+}
+
+func (f *feed) skipped(why string, err error) {
+	f.told(why)
+	f.g.ListFailed(err)
 }
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -19,6 +19,7 @@
 	unreadMost   = 512 << 10 // bytes of answers that may wait for a client that does not read
 	keptBody     = 4 << 10   // bytes of a body for which a record is kept
 	keptCalls    = 256       // records kept for the next inferences
+	drainQuiet   = 0.06      // s without a byte before idle connections are closed while draining: what crosses is sent again for 50 ms
 	retryInstead = 0.25      // s told with a refusal of our own: about when there may be room
 )
 
@@ -40,7 +41,8 @@
 	free     []*call
 	scratch  []byte
 	draining bool
-	leaving  bool // told to stop: nobody is to be sent here any more
+	quiet    loop.Timer // while draining: since nothing was in hand or came in
+	leaving  bool       // told to stop: nobody is to be sent here any more
 	refused  map[string]int
 	workers  workers
 }
@@ -86,25 +88,43 @@
 	p.bodyMost = int64(f.Limits.MemoryMB * (1 << 20) * bodyShare)
 	p.most = max(8, f.Limits.Sockets/clientParts)
 	p.oldest.prev, p.oldest.next = &p.oldest, &p.oldest
+	p.quiet.Fire = p.closeIdle
 	p.workers.init(p, f)
 	var err error
 	p.listener, err = p.l.Listen(f.listen, p.accept)
 	return p, err
 }
 
-// Drain, Conns and Held implement gateway.Front.
+// Drain implements gateway.Front: connection draining. All that is still sent is answered, so connections stay open until
+// nothing has been in hand and nothing has come in for a while; only then are they closed.
 func (p *front) Drain() {
 	p.draining = true
-	p.listener.Close()
-	for c := p.oldest.next; c != &p.oldest; {
-		next := c.next
-		if c.calls == 0 {
+	p.listener.Drain()
+	p.drained()
+}
+
+// drained waits for quiet where nothing is in hand while draining.
+func (p *front) drained() {
+	if p.draining && len(p.open) == 0 {
+		p.l.Start(&p.quiet, drainQuiet)
+	}
+}
+
+// closeIdle ends the drain. What lies unread in the kernel is heard first; a message that has come in part gets its time.
+func (p *front) closeIdle() {
+	var all []*clientConn
+	for c := p.oldest.next; c != &p.oldest; c = c.next {
+		all = append(all, c)
+	}
+	for _, c := range all {
+		if c.conn.Poll(); c.calls == 0 && !c.part {
 			c.end()
 		}
-		c = next
 	}
 }
 
+// Conns and Held implement gateway.Front.
+
 func (p *front) Conns() int  { return p.conns }
 func (p *front) Held() int64 { return p.bodies }
 
@@ -113,7 +133,7 @@
 func (p *front) refuse(why string) { p.refused[why]++ }
 
 func (p *front) accept(conn *loop.Conn) loop.Handler {
-	if p.conns >= p.most && !p.makeRoom() {
+	if p.conns+p.l.Lingering() >= p.most && !p.makeRoom() {
 		p.refuse("no_descriptor")
 		return nil
 	}
@@ -145,7 +165,7 @@
 	}
 	p.refuse("idle_closed")
 	idle.end()
-	return true
+	return p.conns+p.l.Lingering() < p.most+reserved/4 // it may linger for its last answer
 }
 
 func (c *clientConn) link() {
@@ -167,11 +187,29 @@
 // Closed implements loop.Handler: the client has gone, and wants none of its answers.
 func (c *clientConn) Closed(*loop.Conn, error) { c.over() }
 
-// end closes the connection; what is open on it is given up.
+// end closes the connection; what is open on it is given up. Answers written in this turn go out first: they are given,
+// and nobody would give them again.
 func (c *clientConn) end() {
 	if c.closing {
 		return
 	}
+	if c.conn.Waiting() > 0 {
+		c.conn.CloseFlushed()
+	} else {
+		c.conn.Close()
+	}
+	c.over()
+}
+
+// cut closes the connection at once, whose client does not keep to the protocol, or does not read.
+func (c *clientConn) cut() {
+	if c.closing {
+		return
+	}
+	c.conn.Flush()
+	if c.closing { // the flush found it gone
+		return
+	}
 	c.conn.Close()
 	c.over()
 }
@@ -237,7 +275,7 @@
 		payload, n, err := thrift.Frame(b[used:], thrift.MostFrame)
 		if err != nil {
 			c.p.refuse("frame")
-			c.end()
+			c.cut()
 			return len(b)
 		}
 		if n == 0 {
@@ -259,10 +297,11 @@
 		c.link()
 		if conn.Waiting() > unreadMost {
 			c.p.refuse("does_not_read")
-			c.end()
+			c.cut()
 			return len(b)
 		}
 		c.wait(used < len(b))
+		c.p.drained()
 	}
 	if c.closing {
 		return len(b)
@@ -293,10 +332,10 @@
 		c.bad("unusable", m.Seq, m.Fault.Error())
 	case c.find(m.Seq) != nil: // its answer could be taken for the other's
 		p.refuse("number_in_use")
-		c.end()
+		c.cut()
 	case c.calls >= openMost:
 		p.refuse("too_many_open")
-		c.end()
+		c.cut()
 	default:
 		c.infer(m)
 	}
@@ -328,7 +367,7 @@
 	if other := p.open[key]; other != nil {
 		p.refuse("id_in_use")
 		if other.c == c {
-			c.end() // nothing it says can be told apart
+			c.cut() // nothing it says can be told apart
 			return
 		}
 		c.bad("id_in_use", m.Seq, "an inference with this id is open")
@@ -413,15 +452,10 @@
 	if len(p.free) < keptCalls && cap(k.body) <= keptBody {
 		p.free = append(p.free, k)
 	}
-	if c.calls == 0 && !c.closing {
-		if p.draining {
-			c.endSoon()
-			return
-		}
-		if !c.part {
-			c.wait(false)
-		}
+	if c.calls == 0 && !c.closing && !c.part {
+		c.wait(false)
 	}
+	p.drained()
 }
 
 // Returned implements gateway.Client.
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"strconv"
@@ -123,6 +124,21 @@
 	return &c
 }
 
+// differs names what a newer configuration changes beside what is taken over in service.
+func (f *File) differs(n *File) (fields []string) {
+	for _, c := range []struct {
+		name string
+		same bool
+	}{
+		{"name", f.Name == n.Name}, {"listen", f.Listen == n.Listen}, {"limits", f.Limits == n.Limits}, {"settings", maps.Equal(f.set, n.set)},
+	} {
+		if !c.same {
+			fields = append(fields, c.name)
+		}
+	}
+	return fields
+}
+
 // timeout is the longest of the groups'.
 func (f *File) timeout() float64 {
 	most := 0.0
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -9,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -22,7 +24,11 @@
 
 const (
 	stopServe = 0.75 // s after SIGTERM in which all goes on: clients come for so long
-	stopSlack = 0.2  // s beyond the longest timeout until what is in hand is failed
+	stopLong  = 3.0  // s that the platform counts a longer timeout as, before it kills what was told to stop
+	stopKill  = 0.7  // s that it waits beyond the longest timeout
+	stopSlack = 0.15 // s kept before that kill, for the last answers to go out
+	listenFor = 20.0 // s for which a start waits for the address while the process before still holds it
+	listenGap = 0.02 // s between tries
 )
 
 // Dispatcher is one on the platform.
@@ -32,6 +38,7 @@
 	front   *front
 	feed    *feed
 	log     zerolog.Logger
+	file    *File // as it was read last
 	timeout float64
 	stop    loop.Timer
 	told    loop.Timer // tells now and then what was refused
@@ -53,10 +60,12 @@
 		d.front = p
 		return p, err
 	}
+	d.file = f
 	d.Gateway, err = gateway.NewHost(l, o, log, func(seed uint64, s control.Settings, a control.Actions) control.Module {
 		return control.New(seed, s, a)
 	})
 	if err != nil {
+		l.Close()
 		return nil, err
 	}
 	d.feed = newFeed(d.Gateway, d.front.refuse)
@@ -66,7 +75,7 @@
 		}
 		d.feed.follow(f.changeLog)
 	})
-	d.stop.Fire = func() { d.Gateway.Stop(d.timeout + stopSlack) }
+	d.stop.Fire = func() { d.Gateway.Stop(math.Min(d.timeout, stopLong) + stopKill - stopServe - stopSlack) }
 	d.told.Fire = d.tell
 	l.Later(func() { l.Start(&d.told, 5) })
 	return d, nil
@@ -91,6 +100,10 @@
 // Reload takes a new configuration in service: the change log's address, and what it knows.
 func (d *Dispatcher) Reload(f *File) {
 	d.log.Info().Str("change_log", f.ChangeLog).Msg("configuration read anew")
+	if other := d.file.differs(f); len(other) > 0 {
+		d.log.Warn().Strs("fields", other).Msg("these changed too, and are in force after a restart only")
+	}
+	d.file = f
 	if err := d.feed.take(&f.Known); err != nil {
 		d.log.Error().Err(err).Msg("the list of workers in the configuration was not taken")
 	}
@@ -107,8 +120,29 @@
 	d.Loop.Start(&d.stop, stopServe)
 }
 
+// newWhenFree makes a dispatcher; while another process holds the address, which mostly is the one before and about to
+// end, it tries again. It returns nil where it is told to stop meanwhile.
+func newWhenFree(f *File, log zerolog.Logger, sig <-chan os.Signal) (*Dispatcher, error) {
+	for start := time.Now(); ; {
+		d, err := New(f, log)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(start).Seconds() > listenFor {
+			return d, err
+		}
+		select {
+		case s := <-sig:
+			if s != syscall.SIGHUP { // the file is as new as this start
+				return nil, nil
+			}
+		case <-time.After(time.Duration(listenGap * float64(time.Second))):
+		}
+	}
+}
+
 // Run runs a dispatcher by the platform's environment until it is told to stop, and returns the exit code.
 func Run(out io.Writer) int {
+	sig := make(chan os.Signal, 8) // first of all: a signal that comes before ends the process
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(sig)
 	path := os.Getenv("LB_CONFIG")
 	f, err := ReadFile(path)
 	if err != nil {
@@ -120,10 +154,11 @@
 	runtime.GOMAXPROCS(1)
 	log, flush := app.Logger(config.Log{Level: "info", Format: "json"}, out)
 	defer flush()
-	sig := make(chan os.Signal, 8)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(sig)
-	d, err := New(f, log)
+	d, err := newWhenFree(f, log, sig)
+	if d == nil && err == nil {
+		log.Info().Msg("told to stop before the address was free")
+		return app.ExitOK
+	}
 	if err != nil {
 		fmt.Fprintln(out, "mastchute:", err)
 		return app.ExitError
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -228,7 +228,7 @@
 			state, w.From = w.ruling, Admin
 		}
 		w.State = state
-		if w.Told {
+		if w.Told && w.Entry.Epoch > w.Epoch { // the latest start heard of holds: an event told late must not make it warm
 			w.Epoch, w.Start = w.Entry.Epoch, w.Entry.Start
 		}
 		w.held = !w.Told && state == control.Ready && (w.held || known && was.State != control.Ready)
