--- /dev/null
+++ b/control/cold_test.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// coldRun is a fleet of dispatchers in simulated time with workers of which some start cold at once.
+type coldRun struct {
+	dispatchers, workers, cold int
+	rate                       float64 // inferences a second for each worker, of all dispatchers
+	uneven                     bool    // some dispatchers see several times the mean, most see less
+	restart                    float64 // share of the dispatchers that start anew as the workers come
+	models                     int
+}
+
+const (
+	coldAt   = 6.0 // s, when the cold workers start and are told of
+	coldEnd  = 12.0
+	coldStep = 0.01
+	coldWork = 0.2 // s of one inference
+)
+
+// fleetNode is one dispatcher; its actions are kept until the worker's answer is due.
+type fleetNode struct {
+	Actions
+	d     *Dispatcher
+	born  float64
+	weigh float64
+	due   []coldDue
+	wake  bool
+	sent  func(w WorkerID)
+	next  InferenceID
+	now   float64
+	went  map[InferenceID]int
+}
+
+type coldDue struct {
+	at   float64
+	id   InferenceID
+	n    int
+	w    WorkerID
+	prob bool
+}
+
+func (f *fleetNode) Forward(id InferenceID, w WorkerID, _ Seconds) {
+	f.sent(w)
+	f.due = append(f.due, coldDue{at: f.now + coldWork, id: id, n: f.went[id], w: w})
+	f.went[id]++
+}
+func (f *fleetNode) Probe(w WorkerID) {
+	f.due = append(f.due, coldDue{at: f.now + 0.002, w: w, prob: true})
+}
+func (f *fleetNode) Shed(InferenceID, Seconds)    {}
+func (f *fleetNode) Fail(InferenceID)             {}
+func (f *fleetNode) Cancel(InferenceID, int)      {}
+func (f *fleetNode) Order(WorkerID, ModelID, int) {}
+func (f *fleetNode) Subscribe(bool)               {}
+func (f *fleetNode) Wake(Seconds, TimerID)        { f.wake = true }
+
+// play returns the largest share of its limit that a cold worker got in any window of the fall's length.
+func (c coldRun) play(seed uint64) float64 {
+	const fall, warmAfter, share, overload = 1.0, 8.0, 0.25, 2.0
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	set := Settings{"dispatchers": float64(c.dispatchers), "rules.fall": fall, "rules.warm_after": warmAfter,
+		"rules.cold_share": share, "rules.overload_factor": overload, "limits.max_forwards": 3.0, "limits.second_copies": true,
+		"limits.cancel": true, "limits.probes": true, "limits.max_retry_after": 0.5, "models.keep": 8.0, "models.on_miss": "load",
+		"load_report.fields": 2.0, "load_report.fields.0": "inflight", "load_report.fields.1": "queue", "groups": 1.0,
+		"groups.0.effect": "retriable", "groups.0.slo": 1.0, "groups.0.timeout": 5.0}
+	now := 0.0
+	got := make([][]float64, c.workers)
+	out := make([]float64, c.workers)
+	list := func(born float64) (l []WorkerInfo) {
+		for i := range c.workers {
+			if start := math.Inf(-1); i >= c.cold {
+				l = append(l, WorkerInfo{ID: WorkerID(mix(uint64(i) + seed<<20)), State: Ready, Start: start, Weight: 1})
+			} else if now >= coldAt {
+				l = append(l, WorkerInfo{ID: WorkerID(mix(uint64(i) + seed<<20)), State: Ready, Start: coldAt - born, Weight: 1})
+			}
+		}
+		return l
+	}
+	index := map[WorkerID]int{}
+	for i := range c.workers {
+		index[WorkerID(mix(uint64(i)+seed<<20))] = i
+	}
+	fresh := func(n *fleetNode) {
+		n.born, n.now, n.due, n.wake, n.went = now, 0, nil, false, map[InferenceID]int{}
+		n.d = New(rnd.Uint64(), set, n)
+		n.d.At(0)
+		n.d.Workers(ListComplete, 1, list(now))
+		n.d.Settle()
+	}
+	var nodes []*fleetNode
+	total := 0.0
+	for range c.dispatchers {
+		n := &fleetNode{weigh: 1}
+		if c.uneven {
+			n.weigh = math.Exp(rnd.NormFloat64())
+		}
+		total += n.weigh
+		n.sent = func(w WorkerID) { i := index[w]; got[i] = append(got[i], now); out[i]++ }
+		fresh(n)
+		nodes = append(nodes, n)
+	}
+	told := false
+	for ; now < coldEnd; now += coldStep {
+		if !told && now >= coldAt {
+			told = true
+			for i, n := range nodes {
+				if float64(i) < c.restart*float64(len(nodes)) {
+					fresh(n)
+				} else {
+					n.d.At(now - n.born)
+					n.d.Workers(ListChanges, 2, list(n.born))
+					n.d.Settle()
+				}
+			}
+		}
+		for _, n := range nodes {
+			n.now = now - n.born
+			busy := false
+			begin := func() {
+				if !busy {
+					busy = true
+					n.d.At(n.now)
+				}
+			}
+			k := 0
+			due := n.due
+			n.due = nil
+			for _, o := range due {
+				if o.at > n.now {
+					n.due = append(n.due, o)
+					continue
+				}
+				begin()
+				k++
+				report := []float64{out[index[o.w]], 0}
+				if o.prob {
+					n.d.Probed(ProbeResult{Worker: o.w, Result: Returned, Took: 0.002, Report: report})
+				} else {
+					out[index[o.w]]--
+					n.d.Outcome(Outcome{ID: o.id, Forward: o.n, Worker: o.w, Took: coldWork, Result: Returned, Found: FoundWarm, Crowd: -1, Final: true, Report: report})
+				}
+			}
+			if n.wake {
+				begin()
+				n.wake = false
+				n.d.Timer(0)
+			}
+			mean := c.rate * float64(c.workers) * n.weigh / total * coldStep
+			for p := rnd.ExpFloat64(); p < mean; p += rnd.ExpFloat64() {
+				begin()
+				n.next++
+				n.d.Inference(Inference{ID: n.next, Model: ModelID(1 + int(float64(c.models)*math.Pow(rnd.Float64(), 2))), Work: coldWork, Load: 1, NotAfter: n.now + 5, Tenant: math.MaxUint16})
+			}
+			if busy {
+				n.d.Settle()
+			}
+		}
+	}
+	worst := 0.0
+	for i := range c.cold {
+		for j, at := range got[i] {
+			k := j
+			for k >= 0 && got[i][k] > at-fall {
+				k--
+			}
+			warmth := share + (1-share)*math.Min(1, (at-coldAt)/warmAfter)
+			n := overload * warmth * c.rate * fall
+			worst = math.Max(worst, float64(j-k)/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return worst
+}
+
+// Rule 4 over many draws: the most that a cold worker gets of all dispatchers together, against what the settings allow it.
+// The capacity taken is the mean traffic, the least that a fleet in order has. Of the shares of the limit the tail counts.
+func TestColdWorkersOverManyDraws(t *testing.T) {
+	draws := uint64(12)
+	for _, n := range []int{1, 2, 20, 30, 300} {
+		for _, c := range []coldRun{
+			{dispatchers: n, workers: 24, cold: 1, rate: 5, models: 30},
+			{dispatchers: n, workers: 24, cold: 12, rate: 5, models: 30, uneven: true},
+			{dispatchers: n, workers: 24, cold: 6, rate: 5, models: 30, uneven: true, restart: 0.7},
+			{dispatchers: n, workers: 60, cold: 20, rate: 2, models: 200, uneven: true, restart: 1},
+		} {
+			t.Run(fmt.Sprintf("%d,%d of %d,restart %g", n, c.cold, c.workers, c.restart), func(t *testing.T) {
+				t.Parallel()
+				worst, mean := 0.0, 0.0
+				for seed := range draws {
+					w := c.play(seed)
+					worst, mean = math.Max(worst, w), mean+w/float64(draws)
+				}
+				t.Logf("share of the limit: worst of %d draws %.2f, mean %.2f", draws, worst, mean)
+				if worst > 1 {
+					t.Errorf("a cold worker got %.2f of its limit", worst)
+				}
+			})
+		}
+	}
+}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -19,6 +19,7 @@
 	unreadMost   = 512 << 10 // bytes of answers that may wait for a client that does not read
 	keptBody     = 4 << 10   // bytes of a body for which a record is kept
 	keptCalls    = 256       // records kept for the next inferences
+	roomTries    = 4         // connections looked at for one that is idle, for each new one
 	drainQuiet   = 0.06      // s without a byte before idle connections are closed while draining: what crosses is sent again for 50 ms
 	retryInstead = 0.25      // s told with a refusal of our own: about when there may be room
 )
@@ -145,11 +146,30 @@
 	return c
 }
 
-// makeRoom closes the connection that has been idle for longest, one that never said anything first.
+// makeRoom closes the connection that has been idle for longest, one that never said anything first. One that turns out
+// to have a request unread is not idle.
 func (p *front) makeRoom() bool {
+	for range roomTries {
+		idle := p.longestIdle()
+		if idle == nil {
+			return false
+		}
+		if idle.conn.Poll(); idle.calls > 0 || idle.part {
+			continue
+		}
+		if !idle.closing {
+			p.refuse("idle_closed")
+			idle.end()
+		}
+		return p.conns+p.l.Lingering() < p.most+reserved/4 // it may linger for its last answer
+	}
+	return false
+}
+
+func (p *front) longestIdle() *clientConn {
 	var idle *clientConn
 	for c := p.oldest.next; c != &p.oldest; c = c.next {
-		if c.calls > 0 {
+		if c.calls > 0 || c.part && c.used {
 			continue
 		}
 		if !c.used {
@@ -160,12 +180,7 @@
 			idle = c
 		}
 	}
-	if idle == nil {
-		return false
-	}
-	p.refuse("idle_closed")
-	idle.end()
-	return p.conns+p.l.Lingering() < p.most+reserved/4 // it may linger for its last answer
+	return idle
 }
 
 func (c *clientConn) link() {
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -78,6 +78,32 @@
 	}
 }
 
+// A connection is not idle whose request lies unread when room is made.
+func TestRoomSparesAnUnreadRequest(t *testing.T) {
+	w := newWorker(t, "w1", fine)
+	r := newRig(t, "load", w)
+	old, idle := r.dial(), r.dial()
+	for _, c := range []*client{old, idle} {
+		c.Write(alive(1))
+		if a, ok := c.answer(); !ok || !a.Good {
+			t.Fatalf("%+v %v", a, ok)
+		}
+	}
+	r.on(func() { // the loop stands still: the request is in the kernel, unread
+		old.seq = 1
+		old.send("once", "in")
+		if !r.d.front.makeRoom() {
+			t.Error("no room was made")
+		}
+	})
+	if a, ok := old.answer(); !ok || kind(a) != "returned" {
+		t.Errorf("%+v, open %v", a, ok)
+	}
+	if a, ok := idle.answer(); ok {
+		t.Errorf("the idle one is open: %+v", a)
+	}
+}
+
 // While draining, what was sent in time is answered: on a connection that waits in the listen backlog, unread on an open
 // one, in pieces, and behind an answer on a connection that has just become idle.
 func TestDrainAnswersWhatWasSent(t *testing.T) {
@@ -131,13 +157,17 @@
 	out.send("once", "in", "patience=60000")
 	r.until("it is out", func() bool { return len(w.seen("invoke")) == 1 })
 	held := r.dial()
-	held.seq = 7
 	r.log.add(false, w.member("leaving", 0)) // no worker is left to take another
 	r.until("it is told", func() bool { return !r.d.Gateway.Ready() })
 	held.send("once", "in", "patience=60000")
 	r.until("both are in hand", func() bool { return r.d.Gateway.InHand() == 2 })
 	r.on(func() { r.d.Stop() })
 	r.on(func() { r.d.stop.Fire(); r.d.Gateway.Stop(0) })
+	for timeout, kill := range map[float64]float64{0.5: 1.2, 3: 3.7, 9: 3.7} { // the platform's, after SIGTERM
+		if end := stopServe + stopGrace(timeout); end > kill-0.1 || end < kill-0.5 {
+			t.Errorf("timeout %g: all is answered %g s after SIGTERM, killed after %g", timeout, end, kill)
+		}
+	}
 	if a, ok := held.answer(); !ok || kind(a) != "shed" {
 		t.Errorf("never forwarded: %+v %v", a, ok)
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -75,7 +75,7 @@
 		}
 		d.feed.follow(f.changeLog)
 	})
-	d.stop.Fire = func() { d.Gateway.Stop(math.Min(d.timeout, stopLong) + stopKill - stopServe - stopSlack) }
+	d.stop.Fire = func() { d.Gateway.Stop(stopGrace(d.timeout)) }
 	d.told.Fire = d.tell
 	l.Later(func() { l.Start(&d.told, 5) })
 	return d, nil
@@ -138,6 +138,11 @@
 	}
 }
 
+// stopGrace is how long what is in hand may go on once nothing new is taken: it must end before the platform's kill.
+func stopGrace(timeout float64) float64 {
+	return math.Min(timeout, stopLong) + stopKill - stopServe - stopSlack
+}
+
 // Run runs a dispatcher by the platform's environment until it is told to stop, and returns the exit code.
 func Run(out io.Writer) int {
 	sig := make(chan os.Signal, 8) // first of all: a signal that comes before ends the process
