--- a/internal/gateway/taking.go
+++ b/internal/gateway/taking.go
@@ -47,6 +47,9 @@
 func (q *Inference) NotAfter() float64 { return q.notAfter }
 func (q *Inference) Final() bool       { return q.final }
 
+// ID names it towards the decisions.
+func (q *Inference) ID() control.InferenceID { return q.id }
+
 // Tenant is the number of its tenant in the settings, -1 where none is told.
 func (q *Inference) Tenant() int { return q.tenant }
 
--- /dev/null
+++ b/internal/platform/races_test.go
@@ -0,0 +1,138 @@
+package platform
+
+import (
+	"io"
+	"net"
+	"testing"
+)
+
+// crossing has one inference come in and something happen to it at an exact place of the loop's turn: after its forward
+// was queued, in the turn in which the connection is begun (up false), or behind its bytes in the buffer of a connection
+// that is up, before they are flushed (up true).
+func (r *rig) crossing(c *client, group string, up bool, then func(k *call)) {
+	r.t.Helper()
+	done := make(chan struct{})
+	r.on(func() {
+		l := r.d.Loop
+		turn := l.OnTurn
+		c.send(group, "in")
+		for x := r.d.front.oldest.next; x != &r.d.front.oldest; x = x.next {
+			x.conn.Poll()
+		}
+		if len(r.d.front.open) != 1 {
+			r.t.Errorf("%d in hand", len(r.d.front.open))
+		}
+		var k *call
+		for _, k = range r.d.front.open {
+		}
+		l.OnTurn = func() {
+			l.OnTurn = turn
+			turn() // the decisions ask for the forward, and the link's pump is due
+			act := func() { then(k); close(done) }
+			if up {
+				l.Later(act) // between the pump's write and the flush
+			} else {
+				l.Later(func() { l.Later(act) }) // after the pump has begun to connect
+			}
+		}
+	})
+	<-done
+}
+
+// A forward that has not left never does, whoever calls it off, wherever it waits.
+func TestWhatIsCalledOffNeverLeaves(t *testing.T) {
+	for name, off := range map[string]func(r *rig, k *call, w *scripted){
+		"the client closes":  func(_ *rig, k *call, _ *scripted) { c := k.c; c.conn.Close(); c.Closed(nil, io.EOF) },
+		"it takes it back":   func(r *rig, k *call, _ *scripted) { q := k.q; k.release(); r.d.Gateway.Left(q) },
+		"the decisions fail": func(r *rig, k *call, _ *scripted) { r.d.Gateway.Fail(k.q.ID()) },
+		"the worker drains": func(r *rig, _ *call, w *scripted) {
+			r.d.feed.body = append(r.d.feed.body[:0], `{"seq":2,"results":[{"seq":2,"fleet":{"members":[`+w.member("leaving", 0)+`]}}]}`...)
+			r.d.feed.call.Cancel()
+			r.d.feed.End(nil)
+		},
+		"the worker is gone": func(r *rig, _ *call, w *scripted) {
+			r.d.feed.body = append(r.d.feed.body[:0], `{"seq":2,"results":[{"seq":2,"fleet":{"members":[`+w.member("left", 0)+`]}}]}`...)
+			r.d.feed.call.Cancel()
+			r.d.feed.End(nil)
+		},
+	} {
+		for _, up := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", connection up", false: ", connection coming up"}[up], func(t *testing.T) {
+				w := newWorker(t, "w1", fine)
+				r := newRig(t, "load", w)
+				before := 0
+				if up {
+					r.expect("read", "returned")
+					before = 1
+				}
+				r.crossing(r.dial2(), "once", up, func(k *call) { off(r, k, w) })
+				r.until("what was begun has ended", func() bool {
+					for c := range r.d.front.workers.conns {
+						if !c.up {
+							return false
+						}
+					}
+					return r.d.Gateway.InHand() == 0 || name != "the client closes"
+				})
+				// The worker reads in order: what had left before a probe on the same connections is there before its answer.
+				probes := 0
+				r.on(func() {
+					for c := range r.d.front.workers.conns {
+						c.conn.Write([]byte("gauges z\r\n"))
+						probes++
+					}
+				})
+				for len(w.seen("gauges")) < probes {
+					r.on(func() {})
+				}
+				if n := len(w.seen("invoke")); n != before {
+					t.Errorf("%d forwards left, %d wanted", n, before)
+				}
+			})
+		}
+	}
+}
+
+// dial2 is a client whose connection has been accepted.
+func (r *rig) dial2() *client {
+	r.t.Helper()
+	c := r.dial()
+	c.Write(alive(1))
+	if _, ok := c.answer(); !ok {
+		r.t.Fatal("no answer to alive")
+	}
+	c.seq = 1
+	return c
+}
+
+// An answer and the worker's close in one read: the answer counts, and the close is no failure of the inference.
+func TestAnswerAndCloseInOneRead(t *testing.T) {
+	w := newWorker(t, "w1", func(c net.Conn, m seen) { fine(c, m); c.Close() })
+	r := newRig(t, "load", w)
+	for range 20 {
+		r.expect("once", "returned")
+	}
+	if n := len(w.seen("invoke")); n != 20 {
+		t.Errorf("%d forwards of 20", n)
+	}
+}
+
+// A client that half-closes after other bytes has gone: what it asked in them is not forwarded further.
+func TestLeavingBehindOtherBytes(t *testing.T) {
+	full := func(c net.Conn, m seen) { reply("overload", "-", "")(c, m) }
+	w := newWorker(t, "w1", silent, full)
+	r := newRig(t, "load", w)
+	c := r.dial2()
+	var all []byte
+	for seq := int32(2); seq < 12; seq++ {
+		all = append(all, request(seq, "once", "in")...)
+	}
+	c.Write(all)
+	c.Conn.(*net.TCPConn).CloseWrite()
+	r.idle()
+	n := len(w.seen("invoke"))
+	r.on(func() {})
+	if later := len(w.seen("invoke")); later > n+1 {
+		t.Errorf("%d forwards after it had gone", later-n)
+	}
+}
