Probes are weighed by their price, and connections to workers are fewer

Where own traffic is sparse each inference asks two homes (Dispatcher.probe), and the settings price a probe at 0.08 (prices.probe), eight times the older sites. Handshakes: link.connect opened another connection whenever each carried one forward; now when each carries three. Idle ones close at 0.85 of the worker's idle time, not 0.6: 2.2 s before the worker would at 15 s, and fewer come up anew.

--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,7 @@
 	reportSpan   = 10.0 // s in which a report loses two thirds of its weight; 4 lost 0.03 to 0.07
 	reportBlend  = 0.5  // weight of a new report of a worker
 	probeHomes   = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
+	probeWorth   = 0.03 // of an inference's value that those reports gain, at most that may be paid: see probeHomes
 	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
 	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
 	loadsBeside  = 4.0  // loads a worker does beside each other: told nowhere; 2 idles it, 1 lost
@@ -63,6 +64,7 @@
 		warmAfter: s.Num("rules.warm_after", 0), coldShare: s.Num("rules.cold_share", 1),
 		overload: s.Num("rules.overload_factor", 1), most: min(maxForwards, int(s.Num("limits.max_forwards", 1))),
 		second: s.Is("limits.second_copies"), cancel: s.Is("limits.cancel"), probes: s.Is("limits.probes"),
+		homes:     int(math.Min(probeHomes, probeWorth/math.Max(1e-9, s.Num("prices.probe", 0)))),
 		retryMost: s.Num("limits.max_retry_after", 0), keep: s.Num("models.keep", 0),
 		orders: s.Is("models.orders") && s.Text("models.on_miss") == "miss",
 		window: s.Num("models.load_window", 0), few: s.Num("models.load_few", 0),
@@ -276,13 +278,14 @@
 }
 
 // probe asks some homes of the model, by chance, what they hold, where that is allowed, own traffic is too
-// thin to tell and no report is new; the inference is held for the answers, or a look or two.
+// thin to tell and no report is new; the inference is held for the answers, or a look or two. Fewer or none are
+// asked where the settings price a probe above what it gains: all dispatchers together pay for theirs.
 func (d *Dispatcher) probe(r *inference) bool {
-	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.told.probes {
+	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.told.probes || d.told.homes == 0 {
 		return false
 	}
 	n := min(len(d.top), max(r.model.homes, probeHomes))
-	for i := range min(n, probeHomes) {
+	for i := range min(n, d.told.homes) {
 		j := i + int(d.rnd.share()*float64(n-i))
 		d.top[i], d.top[j] = d.top[j], d.top[i]
 		if w := d.top[i]; w.heldAt < d.now-probeFresh {
--- a/control/state.go
+++ b/control/state.go
@@ -307,7 +307,7 @@
 type told struct {
 	tick, askEvery, fall, warmAfter, keep, window, retryMost Seconds
 	coldShare, overload, few, share                          float64
-	most                                                     int
+	most, homes                                              int // forwards of one inference; homes asked for a report
 	second, cancel, probes, orders                           bool
 }
 
--- a/internal/platform/races_test.go
+++ b/internal/platform/races_test.go
@@ -136,3 +136,32 @@
 		t.Errorf("%d forwards after it had gone", later-n)
 	}
 }
+
+// Handshakes are paid for over the whole fleet: a second connection to a worker is opened only when the first carries some.
+func TestSpareConnectionsAreFew(t *testing.T) {
+	w := newWorker(t, "w1", fine, silent)
+	r := newRig(t, "load", w)
+	r.expect("read", "returned") // the copy is warm
+	c := r.dial2()
+	for n := 1; n <= spareLeast+1; n++ {
+		c.send("read", "in")
+		r.until("it is out", func() bool { return len(w.seen("invoke")) == n+1 })
+		want := 1
+		if n >= spareLeast {
+			want = 2
+		}
+		r.until("the connections are up", func() bool {
+			for x := range r.d.front.workers.conns {
+				if !x.up {
+					return false
+				}
+			}
+			return true
+		})
+		r.on(func() {
+			if got := len(r.d.front.workers.conns); got != want {
+				t.Errorf("%d connections with %d forwards out, want %d", got, n, want)
+			}
+		})
+	}
+}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -15,7 +15,8 @@
 const (
 	connsMost  = 4        // connections to a worker, where descriptors allow: what is spoilt on one spares the others
 	partAnswer = 0.3      // s an answer that has begun may stand still: workers write one at once
-	idleShare  = 0.6      // of the worker's idle time after which we close: what it closes itself may cross with a forward
+	spareLeast = 3        // forwards that each connection to a worker carries before another is opened: handshakes are paid for
+	idleShare  = 0.85     // of the worker's idle time after which we close: what it closes itself may cross with a forward
 	waitMost   = 64 << 10 // bytes that may wait on a connection before others are used or awaited
 )
 
@@ -159,7 +160,7 @@
 	for _, c := range l.conns {
 		if !c.up {
 			coming++
-		} else if len(c.open) == 0 {
+		} else if len(c.open) < spareLeast {
 			busy = false
 		}
 	}
