--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -60,6 +60,7 @@
 	calls      int
 	timer      loop.Timer
 	faults     int
+	reads      uint32
 	used       bool // a whole message has come in
 	part       bool // part of a message has
 	closing    bool
@@ -257,7 +258,12 @@
 	}
 }
 
+// expired ends a connection whose time is up; bytes that lie unread have come in time.
 func (c *clientConn) expired() {
+	part, reads := c.part, c.reads
+	if c.conn.Poll(); c.closing || c.reads != reads && !(part && c.part) {
+		return
+	}
 	switch {
 	case c.part:
 		c.p.refuse("message_stalled")
@@ -290,6 +296,7 @@
 // Data implements loop.Handler.
 func (c *clientConn) Data(conn *loop.Conn, b []byte) int {
 	used := 0
+	c.reads++
 	for !c.closing {
 		payload, n, err := thrift.Frame(b[used:], thrift.MostFrame)
 		if err != nil {
--- a/internal/platform/races_test.go
+++ b/internal/platform/races_test.go
@@ -165,3 +165,57 @@
 		})
 	}
 }
+
+// A forward that waits for a descriptor goes out as soon as another connection is idle, and not only with the next one.
+func TestWaitingForADescriptor(t *testing.T) {
+	workers := []*scripted{newWorker(t, "w1", silent), newWorker(t, "w2", silent)}
+	r := newRig(t, "load", workers...)
+	r.on(func() { r.d.front.workers.most = 1 - reserved/2 }) // one connection in all
+	c := r.dial2()
+	waits := false
+	for n := 1; n < 30 && !waits; n++ { // models new each time, until one has its home at the other worker
+		c.send("read", "in", "entity="+newID())
+		r.until("it is out or waits", func() bool {
+			waits = len(r.d.front.workers.starved) > 0
+			return waits || len(workers[0].seen("invoke"))+len(workers[1].seen("invoke")) == n
+		})
+	}
+	if !waits {
+		t.Fatal("no forward had to wait")
+	}
+	held, other := workers[0], workers[1]
+	if len(held.seen("invoke")) == 0 {
+		held, other = other, held
+	}
+	for _, m := range held.seen("invoke") {
+		say(m.conn, m, "served", "detail=resident", "well")
+	}
+	r.until("the one that waited is out", func() bool { return len(other.seen("invoke")) == 1 })
+}
+
+// A connection whose time is up is not closed over bytes that lie unread.
+func TestExpiryReadsFirst(t *testing.T) {
+	r := newRig(t, "load", newWorker(t, "w1", fine))
+	c := r.dial()
+	r.until("it is accepted", func() bool { return r.d.front.conns == 1 })
+	r.on(func() {
+		c.send("once", "in")
+		r.d.front.oldest.next.expired()
+	})
+	if a, ok := c.answer(); !ok || kind(a) != "returned" {
+		t.Errorf("%+v, open %v", a, ok)
+	}
+	idle := r.dial()
+	r.until("it is accepted", func() bool { return r.d.front.conns == 2 })
+	r.on(func() {
+		for x := r.d.front.oldest.next; x != &r.d.front.oldest; x = x.next {
+			if !x.used {
+				x.expired()
+				break
+			}
+		}
+	})
+	if a, ok := idle.answer(); ok {
+		t.Errorf("%+v", a)
+	}
+}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -27,6 +27,7 @@
 	connect float64
 	idle    float64
 	conns   map[*workerConn]struct{} // of all links
+	starved []*link                  // those that wait for a descriptor
 	most    int
 	report  []string
 	seq     uint64 // of tags
@@ -166,7 +167,13 @@
 	}
 	needed := len(l.queue) > coming*l.s.streams
 	spare := len(l.queue) == 0 && busy && coming == 0 && len(l.conns) > 0 && len(l.conns) < connsMost && !l.closed
-	if !needed && !spare || len(l.s.conns) >= l.s.most && (len(l.conns) > 0 || !l.s.makeRoom()) {
+	if !needed && !spare {
+		return
+	}
+	if len(l.s.conns) >= l.s.most && (len(l.conns) > 0 || !l.s.makeRoom()) {
+		if len(l.conns) == 0 {
+			l.s.starved = append(l.s.starved, l)
+		}
 		return
 	}
 	c := &workerConn{l: l}
@@ -176,6 +183,15 @@
 	c.conn = l.s.p.l.Dial(l.addr, l.s.connect, c)
 }
 
+// eased has the links that wait for a descriptor try again: a connection has ended, or become idle.
+func (s *workers) eased() {
+	for _, l := range s.starved {
+		l.mark()
+	}
+	clear(s.starved)
+	s.starved = s.starved[:0]
+}
+
 // makeRoom closes an idle connection to another worker.
 func (s *workers) makeRoom() bool {
 	for c := range s.conns {
@@ -237,6 +253,7 @@
 		c.end(control.Moot)
 	default:
 		l.Start(&c.timer, c.l.s.idle)
+		c.l.s.eased()
 	}
 }
 
@@ -288,6 +305,7 @@
 		if o == c {
 			l.conns = append(l.conns[:i], l.conns[i+1:]...)
 			delete(l.s.conns, c)
+			l.s.eased()
 			return
 		}
 	}
