--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -14,6 +14,7 @@
 	uneven                     bool    // some dispatchers see several times the mean, most see less
 	restart                    float64 // share of the dispatchers that start anew as the workers come
 	models                     int
+	price                      float64 // of a probe; at this one none is sent
 }
 
 const (
@@ -68,7 +69,7 @@
 		"rules.cold_share": share, "rules.overload_factor": overload, "limits.max_forwards": 3.0, "limits.second_copies": true,
 		"limits.cancel": true, "limits.probes": true, "limits.max_retry_after": 0.5, "models.keep": 8.0, "models.on_miss": "load",
 		"load_report.fields": 2.0, "load_report.fields.0": "inflight", "load_report.fields.1": "queue", "groups": 1.0,
-		"groups.0.effect": "retriable", "groups.0.slo": 1.0, "groups.0.timeout": 5.0}
+		"groups.0.effect": "retriable", "groups.0.slo": 1.0, "groups.0.timeout": 5.0, "prices.probe": c.price}
 	now := 0.0
 	got := make([][]float64, c.workers)
 	out := make([]float64, c.workers)
@@ -187,8 +188,9 @@
 			{dispatchers: n, workers: 24, cold: 12, rate: 5, models: 30, uneven: true},
 			{dispatchers: n, workers: 24, cold: 6, rate: 5, models: 30, uneven: true, restart: 0.7},
 			{dispatchers: n, workers: 60, cold: 20, rate: 2, models: 200, uneven: true, restart: 1},
+			{dispatchers: n, workers: 24, cold: 6, rate: 5, models: 30, uneven: true, restart: 0.7, price: 0.08},
 		} {
-			t.Run(fmt.Sprintf("%d,%d of %d,restart %g", n, c.cold, c.workers, c.restart), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d,%d of %d,restart %g,price %g", n, c.cold, c.workers, c.restart, c.price), func(t *testing.T) {
 				t.Parallel()
 				worst, mean := 0.0, 0.0
 				for seed := range draws {
