--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -159,14 +159,14 @@
 		if idle == nil {
 			return false
 		}
-		if idle.conn.Poll(); idle.calls > 0 || idle.part {
+		if idle.conn.Poll(); idle.calls > 0 || idle.part && idle.used { // half a first message may be kept back for good
 			continue
 		}
 		if !idle.closing {
 			p.refuse("idle_closed")
 			idle.end()
 		}
-		return p.conns+p.l.Lingering() < p.most+reserved/4 // it may linger for its last answer
+		return p.conns+p.l.Lingering() < p.most+reservedClients // it may linger for its last answer
 	}
 	return false
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -18,16 +18,18 @@
 )
 
 const (
-	configMost   = 4 << 20 // bytes of the configuration file that are read
-	reserved     = 24      // descriptors kept for the listener, the change log, logs, the loop and the runtime
-	clientParts  = 2       // clients get one part in so many of the descriptors: one in three is the platform's promise
-	heapShare    = 0.55    // of the memory limit that Go may fill before it collects all the time; the rest is the program
-	bodyShare    = 0.25    // of the memory limit that bodies in hand may take
-	eachInHand   = 6 << 10 // bytes that an inference in hand takes beside its body
-	handShare    = 0.15    // of the memory limit that inferences in hand may take so
-	eachModel    = 1 << 10 // bytes that a model in use takes, here and in the decisions
-	modelShare   = 0.1     // of the memory limit that models may take
-	streamsUsual = 32      // forwards on a connection where the settings tell nothing
+	configMost      = 4 << 20 // bytes of the configuration file that are read
+	reserved        = 24      // descriptors kept for the listener, the change log, logs, the loop and the runtime
+	reservedWorkers = 8       // of them, for first connections to workers
+	reservedClients = 3       // of them, for clients' connections that linger for their last answer
+	clientParts     = 2       // clients get one part in so many of the descriptors: one in three is the platform's promise
+	heapShare       = 0.55    // of the memory limit that Go may fill before it collects all the time; the rest is the program
+	bodyShare       = 0.25    // of the memory limit that bodies in hand may take
+	eachInHand      = 6 << 10 // bytes that an inference in hand takes beside its body
+	handShare       = 0.15    // of the memory limit that inferences in hand may take so
+	eachModel       = 1 << 10 // bytes that a model in use takes, here and in the decisions
+	modelShare      = 0.1     // of the memory limit that models may take
+	streamsUsual    = 32      // forwards on a connection where the settings tell nothing
 )
 
 // File is the configuration that the platform hands to a dispatcher.
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -200,7 +200,7 @@
 			return true
 		}
 	}
-	return len(s.conns) < s.most+reserved/2 // the first connection to a worker may draw on the reserve
+	return len(s.conns) < s.most+reservedWorkers // the first connection to a worker may draw on the reserve
 }
 
 // write hands a message to the connection; it leaves at the end of the turn.
