--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -117,6 +117,7 @@
 	SecondCopies  bool     `yaml:"second_copies"`
 	Cancel        bool     `yaml:"cancel"`
 	Probes        bool     `yaml:"probes"`
+	ProbePrice    float64  `yaml:"probe_price"` // of an inference's value
 	MaxRetryAfter Duration `yaml:"max_retry_after"`
 }
 
@@ -322,6 +323,7 @@
 	between(root+".loads.few", c.Loads.Few, 0, 1e9, "")
 	between(root+".loads.share", c.Loads.Share, 0, 1e3, "")
 	between(root+".forwards.most", float64(c.Forwards.Most), 1, 8, "")
+	between(root+".forwards.probe_price", c.Forwards.ProbePrice, 0, 1, "")
 	span(root+".forwards.max_retry_after", c.Forwards.MaxRetryAfter, 0, 3600)
 	for i, f := range c.Report {
 		oneOf(fmt.Sprintf("%s.load_report[%d]", root, i), f, "inflight", "queue", "util", "latency_ms", "qps", "eps", "x0", "x1")
@@ -407,7 +409,7 @@
 		"models.order_timeout": c.Loads.Timeout.Seconds, "models.load_window": c.Loads.Window.Seconds,
 		"models.load_few": c.Loads.Few, "models.load_share": c.Loads.Share,
 		"limits.max_forwards": float64(c.Forwards.Most), "limits.second_copies": c.Forwards.SecondCopies,
-		"limits.cancel": c.Forwards.Cancel, "limits.probes": c.Forwards.Probes,
+		"limits.cancel": c.Forwards.Cancel, "limits.probes": c.Forwards.Probes, "prices.probe": c.Forwards.ProbePrice,
 		"limits.max_retry_after": c.Forwards.MaxRetryAfter.Seconds,
 		"load_report.fields":     float64(len(c.Report)), "groups": float64(len(c.Groups)), "tenants": float64(len(c.Tenants)),
 	}
