--- a/control/control.go
+++ b/control/control.go
@@ -42,7 +42,7 @@
 	reportSpan   = 10.0 // s in which a report loses two thirds of its weight; 4 lost 0.03 to 0.07
 	reportBlend  = 0.5  // weight of a new report of a worker
 	probeHomes   = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
-	probeWorth   = 0.03 // of an inference's value that those reports gain, at most that may be paid: see probeHomes
+	probeWorth   = 0.03 // of an inference's value, paid at most for those reports: what they gain
 	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
 	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
 	loadsBeside  = 4.0  // loads a worker does beside each other: told nowhere; 2 idles it, 1 lost
@@ -278,8 +278,8 @@
 }
 
 // probe asks some homes of the model, by chance, what they hold, where that is allowed, own traffic is too
-// thin to tell and no report is new; the inference is held for the answers, or a look or two. Fewer or none are
-// asked where the settings price a probe above what it gains: all dispatchers together pay for theirs.
+// thin to tell and no report is new; the inference is held for the answers, or a look or two. Fewer or none
+// are asked where the settings price a probe above what it gains: all dispatchers together pay for theirs.
 func (d *Dispatcher) probe(r *inference) bool {
 	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.told.probes || d.told.homes == 0 {
 		return false
