Decisions: what no worker may take any more is answered at once, not held

Seen: scenarios in which a miss used up the last attempt, the window for repeats ended, or the scope that drops repeats lost its last worker: the inference was held until its time was nearly up. Ruled out: answers kept back in Settle (each is out in the batch in which it was given up on); an attempt still out (none was). Lines at fault: find held whenever least found no place, though may barred every worker; Outcome held after a miss for an order though no attempt was left; look gave up by the client's time only. Change: spent and barred tell it; find, Outcome and look give up then. The load order after such a miss still goes out for others.

--- a/control/control.go
+++ b/control/control.go
@@ -196,6 +196,14 @@
 	return r.group.effect == "deduped" && d.now <= f.sent+r.group.window-d.margin()
 }
 
+// spent tells whether the rules bar every further forward of this inference for good, to any worker: holding it
+// for room or for a load would only keep its answer back.
+func (d *Dispatcher) spent(r *inference) bool {
+	f := r.mayHaveRun()
+	return r.out == 0 && (r.n >= d.told.most ||
+		f != nil && r.group.effect != "retriable" && !d.repeatable(r, f))
+}
+
 // mayShed tells whether the client may be told that trying again is harmless (rule 2).
 func (d *Dispatcher) mayShed(r *inference) bool {
 	f := r.mayHaveRun()
@@ -263,7 +271,7 @@
 		return
 	}
 	switch pl := d.least(r, false); {
-	case pl == nil && r.hopeless && r.out == 0:
+	case pl == nil && r.out == 0 && (r.hopeless || r.barred && r.n > 0):
 		d.giveUp(r)
 	case pl == nil || d.probe(r):
 		d.hold(r, nil)
@@ -384,7 +392,7 @@
 // agree unasked on where a model lives, and return to where a copy or an image may still be.
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low, resting := r.model, math.Inf(1), false
-	d.top, r.hopeless = d.top[:0], false
+	d.top, r.hopeless, r.barred = d.top[:0], false, true
 	aim, timely := r.taken+r.group.slo, false
 	until := r.notAfter
 	if d.timely > math.Max(r.taken+giveWay*r.group.slo, d.now-r.group.slo) {
@@ -396,6 +404,7 @@
 		if !d.may(r, w) {
 			continue
 		}
+		r.barred = false
 		queue := d.queue(w)
 		end := d.now + queue/slots + min(m.run, r.group.slo)/2
 		timely = timely || end <= aim
@@ -548,7 +557,9 @@
 	case Missed:
 		pl.warm = math.Inf(-1)
 		if r.want != wantDone && !o.Final && o.Found != LoadFailed && d.order(pl) {
-			d.hold(r, pl)
+			if d.hold(r, pl); d.spent(r) {
+				d.giveUp(r)
+			}
 			return
 		}
 	case Full:
@@ -699,7 +710,7 @@
 		if !r.live || r.want != wantHold && r.want != wantOut {
 			continue
 		}
-		if d.now >= r.notAfter-d.margin() && !r.stream {
+		if !r.stream && (d.now >= r.notAfter-d.margin() || r.want == wantHold && d.spent(r)) {
 			d.giveUp(r)
 			continue
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -62,6 +62,7 @@
 	dirty    bool
 	stream   bool
 	hopeless bool // no worker would answer before its client leaves
+	barred   bool // the rules let it go to no worker that is listed now
 	probed   bool // workers were asked what they hold before it went out
 	repeat   bool // the client asked before, so the SLO time is hardly to be kept
 	over     bool // beyond its tenant's share
