Settings: read once, typed and checked; what can't be used is named or has a safe default

Seen, by probes of the decisions: a rules.fall of 0 sent 32 of 40 inferences to a cold worker at once, a missing cold_share 33 of 40 (usual: 0); a missing keep made no copy ever count as warm; max_forwards 0 held each inference to the end of its time; a deadline that is no number was forwarded six times; a list length of 1e9 looped without end; slo stretches and limits.retry_after were not read. Ruled out: the YAML path, whose ranges are checked; reports over HTTP and the platform, whose reader takes plain decimals only. Lines at fault: New took each number as it stood; open divided by rules.fall; wire read f32 as it stood. Change: control/settings.go (under policy) reads all into one struct, control/reader.go holds bounds; control.Check names faults, which end the start of the platform; unknown words have the strictest default and are logged. slo_stretch reaches the decisions by YAML, the platform and the wire. The test that read names out of control.go now reads settings.go, wants 25 names instead of 15 and a clean Check; the wire's test of list lengths compares with the new type, and with the number as before.

--- a/control/api.go
+++ b/control/api.go
@@ -163,13 +163,20 @@
 	Settle()
 }
 
-// Settings is what a dispatcher is told at start: dotted names to float64, string, bool or lists of them.
+// Settings is what a dispatcher is told at start: dotted names to float64, string or bool. The entries of a list stand
+// under their numbers, its Length under its own name.
 type Settings map[string]any
 
-// Num returns a number, or the fallback where it is not told.
+// Length is how many entries a list has; a plain number tells it too.
+type Length int
+
+// Num returns a number or a length, or the fallback where it is not told.
 func (s Settings) Num(name string, fallback float64) float64 {
-	if v, ok := s[name].(float64); ok {
+	switch v := s[name].(type) {
+	case float64:
 		return v
+	case Length:
+		return float64(v)
 	}
 	return fallback
 }
--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -67,7 +67,7 @@
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	set := Settings{"dispatchers": float64(c.dispatchers), "rules.fall": fall, "rules.warm_after": warmAfter,
 		"rules.cold_share": share, "rules.overload_factor": overload, "limits.max_forwards": 3.0, "limits.second_copies": true,
-		"limits.cancel": true, "limits.probes": true, "limits.max_retry_after": 0.5, "models.keep": 8.0, "models.on_miss": "load",
+		"limits.cancel": true, "limits.probes": true, "limits.retry_after": true, "limits.max_retry_after": 0.5, "models.keep": 8.0, "models.on_miss": "load",
 		"load_report.fields": 2.0, "load_report.fields.0": "inflight", "load_report.fields.1": "queue", "groups": 1.0,
 		"groups.0.effect": "retriable", "groups.0.slo": 1.0, "groups.0.timeout": 5.0, "prices.probe": c.price}
 	now := 0.0
--- a/control/control.go
+++ b/control/control.go
@@ -7,90 +7,79 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 )
 
 const (
-	groupLimit   = 8    // inferences ever in one open group: the paper's; 5 and 16 no change at any site
-	firstLoad    = 2.0  // s, load time of a model before any is told or seen (design)
-	firstRun     = 0.25 // of the SLO time: run time of a model group before any answer
-	blend        = 0.1  // weight of a new answer in run and load times: some ten answers back
-	scan         = 0.01 // s between looks at all in hand: well under any SLO time, and cheap
-	lookLong     = 0.1  // s until those held for room are tried again where nothing was heard meanwhile
-	endMargin    = 0.02 // s kept of the client's time, on top of two ticks: two looks at all in hand
-	patience     = 3.0  // expected answer times until a forward is late: answer times spread about as wide
-	badBlend     = 0.2  // weight of one outcome in a worker's failure share: some five back
-	badAside     = 0.3  // failure share at which a worker is set aside: two failures close together
-	trickleFirst = 1.0  // forwards a second let through to a worker set aside
-	trickleBack  = 16.0 // trickle at which it is taken back: four doublings
-	furtherShare = 0.3  // further forwards earned by each inference taken while all of them succeed
-	furtherLeast = 0.03 // and while none does, so that success can be seen again
-	furtherMost  = 30.0 // further forwards saved up at most: a short outage of one worker
-	blameSpan    = 5.0  // s within which a worker that did well by others is fit for them: a few own answers
-	crowdPause   = 0.05 // s without new work after a worker turned some away; doubles until it answers
-	crowdMost    = 0.5  // s, the most of it
-	roomPause    = 1.0  // s without load orders of a model after one found no room
-	coldSafety   = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
-	askFirst     = 0.5  // s until discovery is asked again after a failed call; doubles
-	widthAll     = 24.0 // forwards of all dispatchers out at a worker: 12 idles quick workers, 36 no better
-	widthLeast   = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
-	giveWay      = 0.25 // of the SLO time: how much younger one held must be for an older one to give way to it
-	staleShare   = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
-	meanSpan     = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
-	tieBand      = 3.0  // load times: costs nearer are ties; 1 lost where loads are scarce, 8 at one site
-	tieWarm      = 2.0  // run times: costs of warm copies nearer than that are ties
-	reportSpan   = 10.0 // s in which a report loses two thirds of its weight; 4 lost 0.03 to 0.07
-	reportBlend  = 0.5  // weight of a new report of a worker
-	probeHomes   = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
-	probeWorth   = 0.03 // of an inference's value, paid at most for those reports: what they gain
-	probeFresh   = 0.3  // s for which a report is new enough: about what workers take to renew it
-	sparseRate   = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
-	loadsBeside  = 4.0  // loads a worker does beside each other: told nowhere; 2 idles it, 1 lost
-	slots        = 10.0 // inferences a worker works on together, slowed: tells who comes too late; 4 shed many
-	atOnce       = 4.0  // inferences a worker does at once unslowed: cores are told nowhere; 2 lost at one site
-	homeSpan     = 20.0 // s over which inferences taken are counted: popularity lasts about as long
-	homeShare    = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
-	homeLeast    = 30.0 // inferences in that span under which shares tell little
-	goneLong     = 300  // s after which a gone worker is forgotten: a restart under its name is back by then
-	modelsMost   = 2e4  // models kept: beyond them the half asked for longest ago is forgotten
-	slabLeast    = 1024 // places of the slab that are always kept: a look at them costs little
-	aheadOff     = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
+	groupLimit    = 8    // inferences ever in one open group: the paper's; 5 and 16 no change at any site
+	firstLoad     = 2.0  // s, load time of a model before any is told or seen (design)
+	firstRun      = 0.25 // of the SLO time: run time of a model group before any answer
+	blend         = 0.1  // weight of a new answer in run and load times: some ten answers back
+	scan          = 0.01 // s between looks at all in hand: well under any SLO time, and cheap
+	lookLong      = 0.1  // s until those held for room are tried again where nothing was heard meanwhile
+	endMargin     = 0.02 // s kept of the client's time, on top of two ticks: two looks at all in hand
+	patience      = 3.0  // expected answer times until a forward is late: answer times spread about as wide
+	badBlend      = 0.2  // weight of one outcome in a worker's failure share: some five back
+	badAside      = 0.3  // failure share at which a worker is set aside: two failures close together
+	trickleFirst  = 1.0  // forwards a second let through to a worker set aside
+	trickleBack   = 16.0 // trickle at which it is taken back: four doublings
+	furtherShare  = 0.3  // further forwards earned by each inference taken while all of them succeed
+	furtherLeast  = 0.03 // and while none does, so that success can be seen again
+	furtherMost   = 30.0 // further forwards saved up at most: a short outage of one worker
+	blameSpan     = 5.0  // s within which a worker that did well by others is fit for them: a few own answers
+	crowdPause    = 0.05 // s without new work after a worker turned some away; doubles until it answers
+	crowdMost     = 0.5  // s, the most of it
+	roomPause     = 1.0  // s without load orders of a model after one found no room
+	coldSafety    = 0.4  // of the cold budget used: fellows' turns fall by chance, capacity is a guess
+	askFirst      = 0.5  // s until discovery is asked again after a failed call; doubles
+	widthAll      = 24.0 // forwards of all dispatchers out at a worker: 12 idles quick workers, 36 no better
+	widthLeast    = 4.0  // own forwards any worker may have out: they come by chance; 1 lost with many fellows
+	giveWay       = 0.25 // of the SLO time: how much younger one held must be for an older one to give way to it
+	staleShare    = 0.25 // of the width for inferences worth little by now; 0.5 lost in retry storms
+	meanSpan      = 1.0  // s over which own work at a worker is smoothed to stand for a fellow's
+	tieBand       = 3.0  // load times: costs nearer are ties; 1 lost where loads are scarce, 8 at one site
+	tieWarm       = 2.0  // run times: costs of warm copies nearer than that are ties
+	reportSpan    = 10.0 // s in which a report loses two thirds of its weight; 4 lost 0.03 to 0.07
+	reportBlend   = 0.5  // weight of a new report of a worker
+	probeHomes    = 2    // homes asked for a report before a group opens; 3 no better, none 0.02 to 0.06 worse
+	probeWorth    = 0.03 // of an inference's value, paid at most for those reports: what they gain
+	probeFresh    = 0.3  // s for which a report is new enough: about what workers take to renew it
+	sparseRate    = 0.25 // own inferences a second for each worker, under which own ledgers say little of it
+	loadsBeside   = 4.0  // loads a worker does beside each other: told nowhere; 2 idles it, 1 lost
+	slots         = 10.0 // inferences a worker works on together, slowed: tells who comes too late; 4 shed many
+	atOnce        = 4.0  // inferences a worker does at once unslowed: cores are told nowhere; 2 lost at one site
+	homeSpan      = 20.0 // s over which inferences taken are counted: popularity lasts about as long
+	homeShare     = 0.5  // of a worker's mean traffic that one model may make at a home; 0.2 no better
+	homeLeast     = 30.0 // inferences in that span under which shares tell little
+	goneLong      = 300  // s after which a gone worker is forgotten: a restart under its name is back by then
+	modelsMost    = 2e4  // models kept: beyond them the half asked for longest ago is forgotten
+	slabLeast     = 1024 // places of the slab that are always kept: a look at them costs little
+	sidesMost     = 512  // tenants times model groups told apart at a worker: beyond it they would fill the memory
+	aheadOff      = 1e6  // s added to the cost of a worker tried already: taken only if there is no other
+	timeoutUntold = 60   // s that clients wait where nothing is told: long, but an answer comes
+	coldUntold    = 0.1  // share of its capacity a cold worker is taken to have where none is told: a careful guess
+	coldLeast     = 1e-3 // shares and multiples under it would divide by nearly nothing
+	spanLeast     = 1e-3 // s, spans under it too: no clock here is finer
+	listMost      = 4096 // entries of a list of the settings: more is a mistake
 )
 
-func New(seed uint64, s Settings, a Actions) *Dispatcher {
-	d := &Dispatcher{act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
-	d.told = told{tick: s.Num("tick", 0.001), askEvery: s.Num("rules.ask_every", 10),
-		fall:      s.Num("rules.fall", 1),
-		warmAfter: s.Num("rules.warm_after", 0), coldShare: s.Num("rules.cold_share", 1),
-		overload: s.Num("rules.overload_factor", 1), most: min(maxForwards, int(s.Num("limits.max_forwards", 1))),
-		second: s.Is("limits.second_copies"), cancel: s.Is("limits.cancel"), probes: s.Is("limits.probes"),
-		homes:     int(math.Min(probeHomes, probeWorth/math.Max(1e-9, s.Num("prices.probe", 0)))),
-		retryMost: s.Num("limits.max_retry_after", 0), keep: s.Num("models.keep", 0),
-		orders: s.Is("models.orders") && s.Text("models.on_miss") == "miss",
-		window: s.Num("models.load_window", 0), few: s.Num("models.load_few", 0),
-		share: s.Num("models.load_share", 0)}
+var never = math.Inf(1)
+
+func New(seed uint64, from Settings, a Actions) *Dispatcher {
+	s, r := read(from)
+	d := &Dispatcher{told: s, wrong: append(r.wrong, r.unknown...), act: a, rnd: newRandom(seed), models: map[ModelID]*model{}}
 	d.known, d.hand.byID = map[WorkerID]*worker{}, map[InferenceID]int{}
 	d.further, d.furtherOK, d.choice = furtherMost, 1, 1
-	d.fellows, d.run = math.Max(1, s.Num("dispatchers", 1)), firstRun
-	for i := range int(s.Num("load_report.fields", 0)) {
-		if f := s.Text("load_report.fields." + strconv.Itoa(i)); f == "inflight" || f == "queue" {
-			d.counts = append(d.counts, i)
-		}
-	}
-	if d.askGap = askFirst; s.Text("discovery") != "ask" {
-		d.askAt = math.Inf(1)
+	d.run = firstRun
+	if d.askGap = askFirst; !s.asked {
+		d.askAt = never
 	}
-	for i := range max(1, int(s.Num("groups", 0))) { // where none is told there is one, of the strictest kind
-		at := "groups." + strconv.Itoa(i) + "."
-		g := &modelGroup{effect: s.Text(at + "effect"), scope: s.Text(at + "scope"), slo: s.Num(at+"slo", 1),
-			timeout: s.Num(at+"timeout", math.Inf(1)), window: s.Num(at+"window", 0), load: firstLoad}
-		g.run, g.work = firstRun*g.slo, firstRun*g.slo
-		d.groups = append(d.groups, g)
-	}
-	for i := range int(s.Num("tenants", 0)) {
-		q := s.Num("tenants."+strconv.Itoa(i)+".quota", math.Inf(1)) / d.fellows
+	for _, quota := range s.quotas {
+		q := quota / s.dispatchers
 		d.tenants = append(d.tenants, &tenant{quota: q, level: math.Max(1, q)})
 	}
+	if d.sidesEach = max(1, len(d.tenants)); len(s.groups)*d.sidesEach > sidesMost {
+		d.sidesEach = 1
+	}
 	return d
 }
 
@@ -110,7 +99,7 @@
 		w := d.known[l.ID]
 		if w == nil {
 			w = &worker{WorkerInfo: l, index: d.index(), coldAt: math.Inf(-1), heldAt: math.Inf(-1),
-				goneAt: math.Inf(1), sides: make([]health, len(d.groups)*max(1, len(d.tenants)))}
+				goneAt: math.Inf(1), sides: make([]health, len(d.told.groups)*d.sidesEach)}
 			d.known[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
@@ -138,14 +127,14 @@
 
 func (d *Dispatcher) Inference(q Inference) {
 	r := d.hand.take(q.ID)
-	r.group = d.groups[min(int(q.Group), len(d.groups)-1)]
+	r.group = d.told.groups[min(int(q.Group), len(d.told.groups)-1)]
 	m := d.models[q.Model]
 	if m == nil {
 		d.forgetModels(modelsMost)
 		m = &model{id: q.Model, group: r.group, run: r.group.run, load: r.group.load}
 		d.models[q.Model] = m
 	}
-	if q.Load > 0 && !m.heard {
+	if q.Load > 0 && q.Load < never && !m.heard {
 		m.load = q.Load
 	}
 	m.asked, m.askedAt = 1+m.asked*math.Exp((m.askedAt-d.now)/homeSpan), d.now
@@ -155,13 +144,21 @@
 	if m.homes = 1; d.sparse { // nobody sees a home's queue in time: as many as keep its share below a worker's
 		m.homes = min(1+int(m.asked*float64(d.ready)/(homeShare*(d.asked+homeLeast))), max(1, d.ready/2))
 	}
-	r.repeat, r.notAfter = q.Repeat, math.Min(q.NotAfter, d.now+r.group.timeout)
-	if q.Work > 0 {
+	r.repeat, r.notAfter = q.Repeat, d.now+r.group.timeout
+	if q.NotAfter < r.notAfter { // not so where it is no number
+		r.notAfter = q.NotAfter
+	}
+	if q.Work > 0 && q.Work < never {
 		r.group.work += blend * (q.Work - r.group.work)
 	}
-	r.side = min(int(q.Group), len(d.groups)-1) * max(1, len(d.tenants))
+	work := r.group.work
+	if q.Work > 0 {
+		work = q.Work
+	}
+	r.slo = math.Min(r.group.slo+r.group.stretch*work, r.group.timeout)
+	r.side = min(int(q.Group), len(d.told.groups)-1) * d.sidesEach
 	if int(q.Tenant) < len(d.tenants) {
-		r.side += int(q.Tenant)
+		r.side += int(q.Tenant) % d.sidesEach
 		r.over = d.tenants[q.Tenant].beyond(d.now)
 	}
 	d.further = math.Min(furtherMost, d.further+furtherLeast+(furtherShare-furtherLeast)*d.furtherOK)
@@ -232,8 +229,8 @@
 		}
 	} else if c < 1 {
 		if d.now > w.coldAt+fall { // a turn by chance; unused in time it lapses: all fellows' turns add up
-			safe := coldSafety * (1 + 1/d.fellows) // alone there is no chance in it but our own
-			share := math.Max(1/(fall*d.fellows), safe*d.told.overload*c*d.seen())
+			safe := coldSafety * (1 + 1/d.told.dispatchers) // alone there is no chance in it but our own
+			share := math.Max(1/(fall*d.told.dispatchers), safe*d.told.overload*c*d.seen())
 			w.coldAt = d.now + 2*d.rnd.share()/share
 		}
 		if d.now < w.coldAt {
@@ -289,7 +286,7 @@
 // thin to tell and no report is new; the inference is held for the answers, or a look or two. Fewer or none
 // are asked where the settings price a probe above what it gains: all dispatchers together pay for theirs.
 func (d *Dispatcher) probe(r *inference) bool {
-	if r.probed || r.n > 0 || !d.sparse || len(d.counts) == 0 || !d.told.probes || d.told.homes == 0 {
+	if r.probed || r.n > 0 || !d.sparse || len(d.told.counts) == 0 || !d.told.probes || d.told.homes == 0 {
 		return false
 	}
 	n := min(len(d.top), max(r.model.homes, probeHomes))
@@ -307,12 +304,15 @@
 // report takes what a worker reports to hold; those that wait there count twice where they are told apart.
 func (d *Dispatcher) report(w *worker, told []float64, weight float64) {
 	held := 0.0
-	for _, i := range d.counts {
+	for _, i := range d.told.counts {
 		if i >= len(told) {
 			return
 		}
 		held += told[i]
 	}
+	if !(held >= 0 && held < never) {
+		return
+	}
 	w.held = d.holds(w)
 	w.held, w.heldAt = w.held+weight*(held-w.held), d.now
 }
@@ -328,7 +328,7 @@
 		w := pl.worker
 		wait := d.queue(w) + float64(pl.waiting)*r.model.run
 		if r.tried(w) || wait >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
-			d.now+wait/slots+math.Min(r.model.run, r.group.slo)/2 > r.notAfter {
+			d.now+wait/slots+math.Min(r.model.run, r.slo)/2 > r.notAfter {
 			continue
 		}
 		if best == nil || w.work < best.worker.work {
@@ -344,8 +344,8 @@
 // width is how many own forwards a worker may have out. Inferences that can no longer be in time, or are
 // beyond their tenant's share, leave part of it to the others.
 func (d *Dispatcher) width(r *inference) float64 {
-	limit := max(widthLeast, widthAll/d.fellows)
-	if r.over || r.repeat || d.now+r.model.run > r.taken+r.group.slo {
+	limit := max(widthLeast, widthAll/d.told.dispatchers)
+	if r.over || r.repeat || d.now+r.model.run > r.taken+r.slo {
 		limit *= staleShare
 	}
 	return limit
@@ -354,23 +354,23 @@
 // queue is the run time queued at a worker: ours, and for fellows' what it reports to hold where own traffic
 // is sparse, else for each as much as ours is there over time, since all share the same homes of models.
 func (d *Dispatcher) queue(w *worker) Seconds {
-	if d.sparse && len(d.counts) > 0 {
+	if d.sparse && len(d.told.counts) > 0 {
 		return max(w.work, d.holds(w)*d.run/atOnce)
 	}
-	if d.fellows > 1 && w.meanAt < d.now {
+	if d.told.dispatchers > 1 && w.meanAt < d.now {
 		if d.easedFrom != w.meanAt || d.easedTo != d.now { // most were looked at together the last time too
 			d.easedFrom, d.easedTo, d.eased = w.meanAt, d.now, 1-math.Exp((w.meanAt-d.now)/meanSpan)
 		}
 		w.mean += (w.work - w.mean) * d.eased
 		w.meanAt = d.now
 	}
-	return w.work + (d.fellows-1)*w.mean
+	return w.work + (d.told.dispatchers-1)*w.mean
 }
 
 // holds is how many inferences a worker holds by its reports, drawn as they age to what the fleet must hold
 // on average by Little's law (the mean of the reports themselves leans to the busy workers).
 func (d *Dispatcher) holds(w *worker) float64 {
-	mean := d.fellows * d.taken() * d.run / math.Max(1, float64(d.ready))
+	mean := d.told.dispatchers * d.taken() * d.run / math.Max(1, float64(d.ready))
 	return mean + (w.held-mean)*math.Exp((w.heldAt-d.now)/reportSpan)
 }
 
@@ -393,9 +393,9 @@
 func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
 	m, low, resting := r.model, math.Inf(1), false
 	d.top, r.hopeless, r.barred = d.top[:0], false, true
-	aim, timely := r.taken+r.group.slo, false
+	aim, timely := r.taken+r.slo, false
 	until := r.notAfter
-	if d.timely > math.Max(r.taken+giveWay*r.group.slo, d.now-r.group.slo) {
+	if d.timely > math.Max(r.taken+giveWay*r.slo, d.now-r.slo) {
 		until = math.Min(until, aim) // a younger one that is held could be in time: late answers feed an overload
 	}
 	choice := 0.0
@@ -406,7 +406,7 @@
 		}
 		r.barred = false
 		queue := d.queue(w)
-		end := d.now + queue/slots + min(m.run, r.group.slo)/2
+		end := d.now + queue/slots + min(m.run, r.slo)/2
 		timely = timely || end <= aim
 		late := end > until // the wait outlasts the client
 		if open := d.open(r, w); !open || late {
@@ -416,7 +416,7 @@
 		choice++
 		w.cost = (queue + m.run) / d.warmth(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
-		w.cost += max(w.bad, w.sides[r.side].bad) * (m.load + r.group.slo)
+		w.cost += max(w.bad, w.sides[r.side].bad) * (m.load + r.slo)
 		if r.tried(w) {
 			w.cost += aheadOff
 		}
@@ -734,7 +734,7 @@
 // gone or new, has failed it, and a second copy goes out where allowed; else the inference is just heavy.
 func (d *Dispatcher) late(r *inference, f *forward) {
 	lost := f.to.State == Gone || f.sent <= f.to.Start
-	if !lost && (f.to.sides[r.side].at > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.group.slo/2)) {
+	if !lost && (f.to.sides[r.side].at > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.slo/2)) {
 		return
 	}
 	if f.hedged = true; !lost {
@@ -751,6 +751,10 @@
 		d.askAt = math.Inf(1)
 		d.act.Subscribe(true)
 	}
+	for _, err := range d.wrong {
+		d.act.Log(err.Error() + "; the default is used")
+	}
+	d.wrong = nil
 	for _, pl := range d.orders {
 		pl.wanted = false
 		if pl.worker.State == Ready {
--- a/control/state.go
+++ b/control/state.go
@@ -51,6 +51,7 @@
 	taken    Seconds
 	notAfter Seconds
 	work     Seconds
+	slo      Seconds // in which its answer earns its whole value
 	want     want
 	waits    *place // the place whose first answer or order it is held for
 	forwards [maxForwards]forward
@@ -178,6 +179,7 @@
 	slo     Seconds
 	timeout Seconds
 	window  Seconds
+	stretch float64 // the SLO time is longer by so much of an inference's work
 	run     Seconds // smoothed warm answer time of its models
 	work    Seconds // smoothed mean work of an inference, for the cold budget
 	load    Seconds // smoothed load time of its models
@@ -304,17 +306,11 @@
 	r.want = wantOut
 }
 
-// told is what the settings say, read once: looking names up costs more than deciding.
-type told struct {
-	tick, askEvery, fall, warmAfter, keep, window, retryMost Seconds
-	coldShare, overload, few, share                          float64
-	most, homes                                              int // forwards of one inference; homes asked for a report
-	second, cancel, probes, orders                           bool
-}
-
 // Dispatcher is the state of one dispatcher.
 type Dispatcher struct {
-	told       told
+	told       settings
+	wrong      []error // settings that can't be used, until they are logged
+	sidesEach  int     // tenants told apart at a worker, for each model group
 	act        Actions
 	rnd        random
 	now        Seconds
@@ -324,7 +320,6 @@
 	free       []int // of those, the ones whose worker is forgotten
 	known      map[WorkerID]*worker
 	models     map[ModelID]*model
-	groups     []*modelGroup
 	tenants    []*tenant
 	hand       slab
 	dirty      []*inference
@@ -337,7 +332,6 @@
 	top        []*worker // homes of the model in hand, first in order first
 	looks      uint64    // looks for a place so far
 	probes     []*worker // wanted probes
-	counts     []int     // which values of a report tell inferences held
 
 	easedFrom, easedTo, eased float64 // how far means are eased from one time to another
 	choice                    float64 // share of the workers that the last inference looked at could go to
@@ -348,7 +342,6 @@
 	asked, askedAt float64 // inferences taken of late, and as of when
 
 	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
-	fellows            float64 // dispatchers in all: each is taken to queue as much as we do
 	ready, aside       int
 	askAt, askGap      Seconds // when discovery is asked next, and the gap after a failure
 	ration             ration
@@ -438,6 +431,9 @@
 
 // beyond counts one inference of the tenant and tells whether it is beyond its share.
 func (t *tenant) beyond(now Seconds) bool {
+	if t.quota == never {
+		return false
+	}
 	depth := math.Max(1, t.quota) // of the token bucket: a share of under one a second would never hold a whole token
 	t.level = math.Min(depth, t.level+(now-t.at)*t.quota) - 1
 	t.at = now
--- a/control/trace_test.go
+++ b/control/trace_test.go
@@ -99,7 +99,7 @@
 	pick := func(s ...string) string { return s[rnd.IntN(len(s))] }
 	workers, fellows := 4+rnd.IntN(40), []float64{1, 2, 40}[rnd.IntN(3)]
 	s := Settings{"limits.max_forwards": float64(1 + rnd.IntN(6)), "limits.second_copies": rnd.IntN(3) > 0, "limits.cancel": rnd.IntN(4) > 0,
-		"limits.probes": rnd.IntN(2) == 0, "limits.max_retry_after": 0.5, "models.keep": 1 + 8*rnd.Float64(), "models.on_miss": pick("miss", "load"),
+		"limits.probes": rnd.IntN(2) == 0, "limits.retry_after": true, "limits.max_retry_after": 0.5, "models.keep": 1 + 8*rnd.Float64(), "models.on_miss": pick("miss", "load"),
 		"models.orders": rnd.IntN(4) > 0, "rules.warm_after": 5.0, "rules.cold_share": 0.2, "rules.fall": 1.0, "rules.overload_factor": 3.0,
 		"tick": 0.001, "dispatchers": fellows, "discovery": pick("push", "ask"), "groups": 3.0, "tenants": 2.0, "tenants.0.quota": 20.0 * fellows,
 		"load_report.fields": float64(rnd.IntN(2)), "load_report.fields.0": "inflight"}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,6 +55,7 @@
 	SLO     Duration `yaml:"slo"`
 	Timeout Duration `yaml:"timeout"`
 	Value   float64  `yaml:"value"`
+	Stretch float64  `yaml:"slo_stretch"` // the SLO time is longer by so much of an inference's own work
 }
 
 // Tenant has a share of the traffic.
@@ -266,6 +267,7 @@
 		} else if g.Scope != "" || g.Window.Seconds > 0 {
 			s.At(at+".effect", "scope and window are for deduped groups only: leave them out, or write effect: deduped")
 		}
+		between(at+".slo_stretch", g.Stretch, 0, 1e6, "")
 		if g.Value < 0 || math.IsNaN(g.Value) {
 			s.At(at+".value", "write a number that is not negative")
 		}
@@ -410,8 +412,8 @@
 		"models.load_few": c.Loads.Few, "models.load_share": c.Loads.Share,
 		"limits.max_forwards": float64(c.Forwards.Most), "limits.second_copies": c.Forwards.SecondCopies,
 		"limits.cancel": c.Forwards.Cancel, "limits.probes": c.Forwards.Probes, "prices.probe": c.Forwards.ProbePrice,
-		"limits.max_retry_after": c.Forwards.MaxRetryAfter.Seconds,
-		"load_report.fields":     float64(len(c.Report)), "groups": float64(len(c.Groups)), "tenants": float64(len(c.Tenants)),
+		"limits.retry_after": c.Forwards.MaxRetryAfter.Seconds > 0, "limits.max_retry_after": c.Forwards.MaxRetryAfter.Seconds,
+		"load_report.fields": float64(len(c.Report)), "groups": float64(len(c.Groups)), "tenants": float64(len(c.Tenants)),
 	}
 	for i, f := range c.Report {
 		s["load_report.fields."+strconv.Itoa(i)] = f
@@ -419,7 +421,7 @@
 	for i, g := range c.Groups {
 		at := "groups." + strconv.Itoa(i) + "."
 		s[at+"name"], s[at+"effect"], s[at+"scope"] = g.Name, g.Effect, g.Scope
-		s[at+"slo"], s[at+"timeout"], s[at+"window"], s[at+"value"] = g.SLO.Seconds, g.Timeout.Seconds, g.Window.Seconds, g.Value
+		s[at+"slo"], s[at+"timeout"], s[at+"window"], s[at+"value"], s[at+"slo_stretch"] = g.SLO.Seconds, g.Timeout.Seconds, g.Window.Seconds, g.Value, g.Stretch
 	}
 	for i, t := range c.Tenants {
 		at := "tenants." + strconv.Itoa(i) + "."
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/goccy/go-yaml"
+
+	"mastchute/control"
 )
 
 var update = flag.Bool("update", false, "write the golden texts anew")
@@ -88,17 +90,24 @@
 		t.Error("a tenant without a share has a quota")
 	}
 	// Every name that control reads is set.
-	src, err := os.ReadFile("../../control/control.go")
+	if err := control.Check(s); err != nil {
+		t.Errorf("the decisions can't use them: %v", err)
+	}
+	src, err := os.ReadFile("../../control/settings.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	names := regexp.MustCompile(`s\.(?:Num|Text|Is)\("([^"]+)"`).FindAllStringSubmatch(string(src), -1)
-	if len(names) < 15 {
+	names := regexp.MustCompile(`r\.(?:number|span|flag|word|count)\((at\+)?"([^"]+)"`).FindAllStringSubmatch(string(src), -1)
+	if len(names) < 25 {
 		t.Fatalf("control reads %d names", len(names))
 	}
 	for _, n := range names {
-		if _, ok := s[n[1]]; !ok && !strings.HasSuffix(n[1], ".") {
-			t.Errorf("control reads %q, which no setting gives", n[1])
+		name := n[2]
+		if n[1] != "" {
+			name = "groups.1." + name
+		}
+		if _, ok := s[name]; !ok && !strings.HasSuffix(name, ".") {
+			t.Errorf("control reads %q, which no setting gives", name)
 		}
 	}
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 
 	"mastchute/control"
 	"mastchute/internal/config"
@@ -29,6 +30,8 @@
 	handShare       = 0.15    // of the memory limit that inferences in hand may take so
 	eachModel       = 1 << 10 // bytes that a model in use takes, here and in the decisions
 	modelShare      = 0.1     // of the memory limit that models may take
+	mostOf          = 1e9     // a larger number in the settings is a mistake
+	openUsual       = 20000   // inferences in hand where the settings tell nothing
 	streamsUsual    = 32      // forwards on a connection where the settings tell nothing
 )
 
@@ -92,12 +95,46 @@
 	if f.set, err = wire.Settings(f.Settings); err != nil {
 		return nil, err
 	}
-	if f.set.Num("groups", 0) < 1 {
-		return nil, errors.New("settings: there is no model group")
+	if err = f.check(); err != nil {
+		return nil, fmt.Errorf("settings: %s", strings.ReplaceAll(err.Error(), "\n", "; "))
 	}
 	return f, nil
 }
 
+// check returns what in the settings can't be used. Zero is how they say that something is not told.
+func (f *File) check() error {
+	if f.set.Num("groups", 0) < 1 {
+		return errors.New("there is no model group")
+	}
+	if err := control.Check(f.set); err != nil {
+		return err
+	}
+	names := map[string]int{}
+	for i := range int(f.set.Num("groups", 0)) {
+		name := f.set.Text("groups." + strconv.Itoa(i) + ".name")
+		if j, twice := names[name]; name == "" || twice {
+			return fmt.Errorf("model group %d has the name %q, which is empty or that of group %d", i, name, j)
+		}
+		names[name] = i
+	}
+	for _, name := range []string{"limits.open_cap", "limits.connect_timeout", "limits.conn_idle", "limits.streams_per_conn", "models.order_timeout"} {
+		if v, told := f.set[name]; told {
+			if n, ok := v.(float64); !ok || n < 0 || n > mostOf {
+				return &control.SettingError{Name: name, Told: v, Want: "a number that is not negative"}
+			}
+		}
+	}
+	return nil
+}
+
+// positive returns a number of the settings, the fallback where it is not told.
+func (f *File) positive(name string, fallback float64) float64 {
+	if n := f.set.Num(name, 0); n > 0 {
+		return n
+	}
+	return fallback
+}
+
 // host is what the host needs of the settings.
 func (f *File) host() *config.Config {
 	c := config.Default()
@@ -119,10 +156,10 @@
 	for i := range int(s.Num("load_report.fields", 0)) {
 		c.Report = append(c.Report, s.Text("load_report.fields."+strconv.Itoa(i)))
 	}
-	c.Loads.Timeout = config.S(s.Num("models.order_timeout", c.Loads.Timeout.Seconds))
-	c.Limits.Inferences = min(int(s.Num("limits.open_cap", 20000)), int(f.Limits.MemoryMB*(1<<20)*handShare/eachInHand))
-	c.Limits.ConnectTimeout = config.S(s.Num("limits.connect_timeout", c.Limits.ConnectTimeout.Seconds))
-	c.Limits.WorkerIdleTimeout = config.S(s.Num("limits.conn_idle", c.Limits.WorkerIdleTimeout.Seconds))
+	c.Loads.Timeout = config.S(f.positive("models.order_timeout", c.Loads.Timeout.Seconds))
+	c.Limits.Inferences = min(int(f.positive("limits.open_cap", openUsual)), int(f.Limits.MemoryMB*(1<<20)*handShare/eachInHand))
+	c.Limits.ConnectTimeout = config.S(f.positive("limits.connect_timeout", c.Limits.ConnectTimeout.Seconds))
+	c.Limits.WorkerIdleTimeout = config.S(f.positive("limits.conn_idle", c.Limits.WorkerIdleTimeout.Seconds))
 	return &c
 }
 
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -36,7 +36,7 @@
 func (s *workers) init(p *front, f *File) {
 	c := f.host()
 	s.p, s.report, s.conns = p, c.Report, map[*workerConn]struct{}{}
-	s.streams = int(f.set.Num("limits.streams_per_conn", streamsUsual))
+	s.streams = int(f.positive("limits.streams_per_conn", streamsUsual))
 	s.connect, s.idle = c.Limits.ConnectTimeout.Seconds, c.Limits.WorkerIdleTimeout.Seconds*idleShare
 	s.most = max(1, f.Limits.Sockets-p.most-reserved)
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -11,7 +11,7 @@
 
 // names turns the wire's setting names into ours; a name not listed keeps its own.
 var names = map[string]string{
-	"request_classes": "groups", "aim": "slo", "deadline": "timeout", "gain": "value", "group": "scope",
+	"request_classes": "groups", "aim": "slo", "aim_stretch": "slo_stretch", "deadline": "timeout", "gain": "value", "group": "scope",
 	"peers_total": "dispatchers", "azs": "zones", "costs": "prices", "max_attempts": "max_forwards",
 	"parallel_tries": "second_copies", "probing": "probes", "when_absent": "on_miss", "may_order": "orders",
 	"stays_loaded": "keep", "order_limit": "order_timeout", "marks_cold": "tells_warm",
@@ -52,7 +52,7 @@
 			flatten(flat, join(at, name), name, e)
 		}
 	case []any:
-		flat[at] = float64(len(v))
+		flat[at] = control.Length(len(v))
 		for i, e := range v {
 			flatten(flat, join(at, strconv.Itoa(i)), key, e)
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -336,9 +336,16 @@
 func (r *reader) u16() uint16     { return binary.LittleEndian.Uint16(r.fixed(2)) }
 func (r *reader) u32() uint32     { return binary.LittleEndian.Uint32(r.fixed(4)) }
 func (r *reader) u64() uint64     { return binary.LittleEndian.Uint64(r.fixed(8)) }
-func (r *reader) f32() float64    { return float64(math.Float32frombits(r.u32())) }
 func (r *reader) micros() float64 { return float64(r.u32()) / micro }
 
+// f32 reads a number; what is none or has no end counts as absent, which is 0.
+func (r *reader) f32() float64 {
+	if v := float64(math.Float32frombits(r.u32())); !math.IsNaN(v) && !math.IsInf(v, 0) {
+		return v
+	}
+	return 0
+}
+
 // worker packs four bytes of address and the port into one id, in wire order.
 func (r *reader) worker() control.WorkerID {
 	b := r.fixed(6)
@@ -381,7 +388,7 @@
 	}
 	g := make([]float64, n)
 	for i := range g {
-		g[i] = r.f32()
+		g[i] = float64(math.Float32frombits(r.u32())) // the decisions leave out a report with a value that is no number
 	}
 	return g
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -126,7 +126,7 @@
 func TestSettingsInOurWords(t *testing.T) {
 	s, err := Settings([]byte(`{"request_classes":[{"aim_us":500000,"effect":"token","group":"cell"}],
 		"limits":{"max_attempts":6},"family_info":{"stays_loaded_us":8000000,"memory_mb_by_kind":[4]},"new_key":null}`))
-	if err != nil || s["groups"] != 1.0 || s["groups.0.slo"] != 0.5 || s["groups.0.effect"] != "deduped" ||
+	if err != nil || s["groups"] != control.Length(1) || s.Num("groups", 0) != 1 || s["groups.0.slo"] != 0.5 || s["groups.0.effect"] != "deduped" ||
 		s["groups.0.scope"] != "cell" || s["limits.max_forwards"] != 6.0 || s["models.keep"] != 8.0 {
 		t.Errorf("%v %v", s, err)
 	}
@@ -178,3 +178,29 @@
 		_ = Serve(bytes.NewReader(wrong), io.Discard, start) // must return
 	}
 }
+
+// A list in place of a number, or a number in place of a list's entries, is a fault that names the setting; figures on
+// the wire that are no numbers count as absent.
+func TestSettingsOfAnotherShape(t *testing.T) {
+	for text, name := range map[string]string{
+		`{"rules":{"fall_us":[1,2]}}`:           "rules.fall",
+		`{"request_classes":"three"}`:           "groups",
+		`{"limits":{"max_attempts":{"a":1}}}`:   "",
+		`{"tenants":[{"quota_rps":"plenty"}]}`:  "tenants.0.quota",
+		`{"request_classes":[{"aim_us":-500}]}`: "groups.0.slo",
+	} {
+		s, err := Settings([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := control.Check(s); (err != nil) != (name != "") || err != nil && !strings.Contains(err.Error(), "setting "+name+" is") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	r := &reader{b: []byte{0, 0, 0xc0, 0x7f, 0, 0, 0x80, 0x7f, 0, 0, 0x80, 0xff, 0, 0, 0, 0x3f}}
+	for _, want := range []float64{0, 0, 0, 0.5} { // no number, endless either way, a half
+		if got := r.f32(); got != want {
+			t.Errorf("got %g, want %g", got, want)
+		}
+	}
+}
