Gateway: a repeat never leaves after the window in which workers drop it

Seen, on loopback: a deduplicated inference whose first forward was reset waits with its repeat for a connection; when that comes up after the window, the repeat left all the same (2 forwards at the worker, returned), over the platform's connections and over HTTP. Ruled out: the decisions (repeatable bars it by the time of the decision); the drain (Abandon ends what waits). Lines at fault: link.pump and h1's clientConn.send wrote whatever waited; nothing ended a forward in wait when its window did. Change: a forward has NotAfter, counted from the first that may have run; a timer ends it then as never sent, and both transports look again as they write. The answer comes as the window ends. The rig's window for repeats is 1 s now (was 2 s, its timeout).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math"
+
 	"mastchute/control"
 	"mastchute/internal/loop"
 	"mastchute/internal/roster"
@@ -21,6 +23,11 @@
 	}
 	f := &Forward{g: g}
 	f.timer.Fire = func() { g.end(f, control.TimedOut) }
+	f.window.Fire = func() {
+		if f.W.link.Handed(f) == 0 {
+			g.end(f, control.Moot)
+		}
+	}
 	return f
 }
 
@@ -59,10 +66,26 @@
 	if timeout > 0 {
 		g.Loop.Start(&f.timer, timeout)
 	}
+	if f.NotAfter = q.repeatsUntil(); !math.IsInf(f.NotAfter, 1) {
+		g.Loop.Start(&f.window, f.NotAfter-f.made)
+	}
 	w.Sent()
 	w.link.Forward(f)
 }
 
+// repeatsUntil is when the window ends in which workers drop a repeat, counted from the first forward that may have run;
+// endless where there is none, or where repeats do no harm.
+func (q *Inference) repeatsUntil() float64 {
+	if q.group.Effect == "deduped" {
+		for _, f := range q.forwards[:q.n-1] {
+			if !f.done || !f.result.NeverRan() {
+				return f.made + q.group.Window.Seconds
+			}
+		}
+	}
+	return math.Inf(1)
+}
+
 // Shed answers that trying again is harmless.
 func (g *Gateway) Shed(id control.InferenceID, retryAfter control.Seconds) {
 	if q := g.find(id); q != nil && q.Client != nil {
@@ -164,6 +187,7 @@
 		}
 	}
 	g.Loop.Cancel(&f.timer)
+	g.Loop.Cancel(&f.window)
 	q, now := f.Q, g.Loop.Now()
 	f.result = r
 	f.W.out--
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -14,6 +15,7 @@
 	"time"
 
 	"mastchute/control"
+	"mastchute/internal/config"
 	"mastchute/internal/h1"
 	"mastchute/internal/http1"
 	"mastchute/internal/loop"
@@ -225,6 +227,55 @@
 	}
 }
 
+// A repeat of a deduplicated inference that waits for a connection until its window is over never leaves.
+func TestNoRepeatLeavesAfterItsWindow(t *testing.T) {
+	a := newWorker(t, "w1", reset, fine)
+	r := newRig(t, "", nil, a)
+	looked := 0
+	r.on(func() {
+		turn := r.g.Loop.OnTurn
+		r.g.Loop.OnTurn = func() {
+			turn()
+			for _, q := range r.g.slab {
+				if !q.live {
+					continue
+				}
+				for _, f := range q.forwards[:q.n] {
+					if c, _ := f.Call.(*httpCall); f.N > 0 && !f.done && c.call.Peek == 0 {
+						looked++
+						c.call.NotAfter = r.g.Loop.Now() - 0.001 // the connection comes up a moment too late
+						q.group.Window = config.S(0)             // and so do all further ones
+					}
+				}
+			}
+		}
+	})
+	if got := r.ask("write-1", "", "in"); got.answer == "returned" || got.err != nil {
+		t.Errorf("%+v", got)
+	}
+	r.on(func() {
+		if n := len(a.seen()); n != 1 || looked == 0 {
+			t.Errorf("%d forwards left, %d repeats were looked at", n, looked)
+		}
+	})
+}
+
+// The window counts from the first forward that may have run.
+func TestWindowCountsFromTheFirstThatMayHaveRun(t *testing.T) {
+	q := &Inference{group: &group{}, n: 4}
+	q.group.Effect, q.group.Window = "deduped", config.S(2)
+	q.forwards = [mostForwards]*Forward{{made: 1, done: true, result: control.Full}, {made: 3, done: true, result: control.Reset}, {made: 4}, {made: 4.5}}
+	if until := q.repeatsUntil(); until != 5 {
+		t.Errorf("it ends at %g", until)
+	}
+	if q.n = 2; !math.IsInf(q.repeatsUntil(), 1) {
+		t.Error("a forward that never ran begins the window")
+	}
+	if q.n, q.group.Effect = 4, "retriable"; !math.IsInf(q.repeatsUntil(), 1) {
+		t.Error("a retriable one has a window")
+	}
+}
+
 // Rule 3 holds for what is held, what waits for a connection, and what is sent again.
 func TestNothingNewAfterADrain(t *testing.T) {
 	slow := act(func(w net.Conn, q *http.Request) { time.Sleep(300 * time.Millisecond); fine(w, q) })
@@ -345,6 +396,9 @@
 		io.WriteString(c, "POST /v2/models/read-1/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\nin")
 		r.until("the answer streams and is held back", func() bool {
 			for _, q := range r.g.slab {
+				if !q.live {
+					continue
+				}
 				if q.live && q.stream != nil && q.Client.(*httpClient).x.Waiting() > 128<<10 {
 					return true
 				}
@@ -353,6 +407,9 @@
 		})
 		r.on(func() {
 			for _, q := range r.g.slab {
+				if !q.live {
+					continue
+				}
 				if q.live && q.Client != nil && q.Client.(*httpClient).x.Waiting() > 512<<10 {
 					t.Errorf("%d bytes wait for a client that reads nothing", q.Client.(*httpClient).x.Waiting())
 				}
--- a/internal/gateway/http_link.go
+++ b/internal/gateway/http_link.go
@@ -57,6 +57,7 @@
 	x := f.Q.Client.(*httpClient).x
 	c.headers, c.status, c.length, c.told = c.headers[:0], 0, -1, told{}
 	c.head = l.g.requestHead(c.head[:0], x, f)
+	c.call.NotAfter = f.NotAfter
 	l.Do(&c.call, c.head, x.Body)
 }
 
--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -90,10 +90,13 @@
 	Heard Heard
 	Body  []byte // of the answer, as far as it is held
 	Call  any    // the link's own record; it stays with this one when it is used again
+	// NotAfter is the loop's time after which none of it may leave: a repeat would no longer be dropped by the workers.
+	NotAfter float64
 
 	g      *Gateway
 	made   float64 // when the decisions asked for it
 	timer  timer
+	window timer // fires at NotAfter
 	done   bool
 	barred bool // the link never had it
 	result control.Result
@@ -102,6 +105,9 @@
 // Done tells whether it has ended.
 func (f *Forward) Done() bool { return f.done }
 
+// MayLeave tells whether it may still be written to a connection.
+func (f *Forward) MayLeave() bool { return f.g.Loop.Now() <= f.NotAfter }
+
 // End tells how it ended, by a result that Heard or the connection tells; nothing after the first time.
 func (f *Forward) End(r control.Result) { f.g.end(f, r) }
 
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -40,6 +40,8 @@
 	Caller Caller
 	Peek   float64 // the loop's time when the request was handed to a connection that is up; 0 before
 	HEAD   bool
+	// NotAfter is the loop's time after which it must not be sent any more: it ends with ErrAbandoned then; 0 for never.
+	NotAfter float64
 
 	pool   *Pool
 	conn   *clientConn
@@ -93,7 +95,7 @@
 		conn := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.Loop.Cancel(&conn.timer)
-		conn.send(c)
+		conn.carry(c)
 		return
 	}
 	if len(p.all) >= p.opt.Conns {
@@ -124,7 +126,7 @@
 		}
 		c.queued = false
 		if conn != nil {
-			conn.send(c)
+			conn.carry(c)
 		} else {
 			p.dial(c)
 		}
@@ -160,16 +162,21 @@
 	}
 	for _, c := range calls {
 		c.Cancel()
-		c.given = true
-		p.Loop.Later(func() {
-			if c.given {
-				c.given = false
-				c.Caller.End(ErrAbandoned)
-			}
-		})
+		p.abandon(c)
 	}
 }
 
+// abandon ends a call soon that has no connection.
+func (p *Pool) abandon(c *Call) {
+	c.given = true
+	p.Loop.Later(func() {
+		if c.given {
+			c.given = false
+			c.Caller.End(ErrAbandoned)
+		}
+	})
+}
+
 // Close closes the idle connections, and each other one after its call.
 func (p *Pool) Close() {
 	p.closed = true
@@ -258,6 +265,17 @@
 	c.conn.Close()
 }
 
+// carry sends a call, unless it waited for too long.
+func (c *clientConn) carry(call *Call) {
+	if call.NotAfter > 0 && c.pool.Loop.Now() > call.NotAfter {
+		c.call, call.conn = nil, nil
+		c.pool.abandon(call)
+		c.pool.next(c)
+		return
+	}
+	c.send(call)
+}
+
 func (c *clientConn) send(call *Call) {
 	c.call, call.conn, c.headed, c.used = call, c, false, true
 	call.from, call.Peek = c.conn.Queued(), c.pool.Loop.Now()
@@ -281,7 +299,7 @@
 
 func (c *clientConn) Opened(*loop.Conn) {
 	if c.call != nil {
-		c.send(c.call)
+		c.carry(c.call)
 	} else {
 		c.pool.next(c)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -64,14 +64,9 @@
 	c.Write(all)
 	r.until("all are in hand", func() bool { return r.d.Gateway.InHand() == openMost })
 	first := <-held
-	c.Write(frame(thrifttest.Message(func(p *lib.TBinaryProtocol) {
-		p.WriteMessageBegin(context.Background(), "cancelRequest", lib.ONEWAY, 99)
-		p.WriteFieldBegin(context.Background(), "", lib.I32, 1)
-		var seq int32
-		fmt.Sscan(first.body, &seq)
-		p.WriteI32(context.Background(), seq)
-		p.WriteFieldStop(context.Background())
-	})))
+	var seq int32
+	fmt.Sscan(first.body, &seq)
+	c.Write(frame(thrifttest.Cancel(seq)))
 	r.until("it is given up", func() bool { return r.d.Gateway.InHand() < openMost })
 	for len(w.seen("abort")) == 0 {
 		time.Sleep(time.Millisecond)
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -218,7 +218,7 @@
 }
 
 const rigGroups = `[{"name":"read","effect":"pure","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":2000000},
- {"name":"write","effect":"token","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":2000000},
+ {"name":"write","effect":"token","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":1000000},
  {"name":"once","effect":"side_effect","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":2000000}]`
 
 func rigSettings(onMiss string) string {
@@ -251,6 +251,15 @@
 	}
 	r.log.add(true, list...)
 	r.file = rigFile(t, r.log, onMiss)
+	r.start()
+	r.until("it can serve", func() bool { return r.d.Gateway.Ready() || len(workers) == 0 })
+	return r
+}
+
+// start starts the dispatcher by the rig's file.
+func (r *rig) start() {
+	t := r.t
+	t.Helper()
 	var err error
 	if r.d, err = New(r.file, zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)); err != nil {
 		t.Fatal(err)
@@ -262,8 +271,6 @@
 			t.Error(err)
 		}
 	})
-	r.until("it can serve", func() bool { return r.d.Gateway.Ready() || len(workers) == 0 })
-	return r
 }
 
 // on runs f on the loop.
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -136,6 +136,10 @@
 		}
 		r := l.queue[i]
 		r.queued = false
+		if r.f != nil && !r.f.MayLeave() {
+			r.end(control.Moot)
+			continue
+		}
 		c.write(r)
 	}
 	n := copy(l.queue, l.queue[i:])
--- a/internal/thrift/thrifttest/thrifttest.go
+++ b/internal/thrift/thrifttest/thrifttest.go
@@ -50,6 +50,16 @@
 	})
 }
 
+// Cancel writes the client's word that it takes a request back.
+func Cancel(seq int32) []byte {
+	return Message(func(p *lib.TBinaryProtocol) {
+		p.WriteMessageBegin(bg, "cancelRequest", lib.ONEWAY, seq)
+		p.WriteFieldBegin(bg, "", lib.I32, 1)
+		p.WriteI32(bg, seq)
+		p.WriteFieldStop(bg)
+	})
+}
+
 // Good are the fields of a request as clients send them.
 func Good() map[string]string {
 	return map[string]string{"route": "call", "trace": "9b1f03aa5c7e2d41", "patience": "1500", "nonce": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
