--- a/control/trace_test.go
+++ b/control/trace_test.go
@@ -23,7 +23,6 @@
 	lines []string
 	n     map[InferenceID]int
 	final map[InferenceID]bool
-	label string
 }
 
 type due struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,6 @@
 	stopBy      float64
 	stopTimer   loop.Timer
 	forgetTimer loop.Timer
-	scratch     []byte
 	wakes       map[control.TimerID]*loop.Timer
 	exit        *Exit
 	rnd         *rand.Rand // spreads what dispatchers would else do in step
--- a/internal/lab/simhost.go
+++ b/internal/lab/simhost.go
@@ -95,8 +95,7 @@
 	w        int
 	made     float64
 	req      standin.Req
-	sentAt   float64 // the worker's start as it was sent, to tell a reset
-	answered bool    // by the worker, or its connection is lost
+	answered bool // by the worker, or its connection is lost
 	done     bool
 	end      func(*told)
 }
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -113,15 +113,6 @@
 	f.ask()
 }
 
-func (f *feed) stop() {
-	f.l.Cancel(&f.timer)
-	if f.pool != nil {
-		f.call.Cancel()
-		f.pool.Close()
-	}
-	f.out = false
-}
-
 func (f *feed) ask() {
 	b := append(f.head[:0], "/changes?since="...)
 	b = strconv.AppendInt(b, f.last, 10)
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -83,23 +83,23 @@
 
 // Req is an inference or a load order at a worker.
 type Req struct {
-	Owner               any
-	Model, Group        string
-	Key, Tenant         string
-	Order, Copies       int // Order 1: a load order
-	Until               float64
-	Verdict             Verdict
-	Found               string // warm, began, awaited, failed
-	Crowd               int
-	RanAt, EndAt        float64 // RanAt 0: it never began
-	Repeat, Fault       bool
-	Reset, Cut          bool // the answer is to be spoilt so
-	w                   *worker
-	m                   *copies
-	left                float64
-	st                  state
-	found               string
-	cancelled, fetching bool
+	Owner         any
+	Model, Group  string
+	Key, Tenant   string
+	Order, Copies int // Order 1: a load order
+	Until         float64
+	Verdict       Verdict
+	Found         string // warm, began, awaited, failed
+	Crowd         int
+	RanAt, EndAt  float64 // RanAt 0: it never began
+	Repeat, Fault bool
+	Reset, Cut    bool // the answer is to be spoilt so
+	w             *worker
+	m             *copies
+	left          float64
+	st            state
+	found         string
+	cancelled     bool
 }
 
 // copies are the copies of one model on one worker.
@@ -114,7 +114,6 @@
 	waiting       []*Req
 	began         *Req
 	orders        []*Req
-	want          int
 	image, listed bool
 }
 
@@ -199,7 +198,6 @@
 type mark struct {
 	first *Req
 	until float64
-	dead  bool
 }
 
 // NewFleet makes a fleet. All workers are up and warm, and empty, unless cold.
--- a/internal/standin/model_test.go
+++ b/internal/standin/model_test.go
@@ -196,7 +196,7 @@
 		return log.String()
 	}
 	for seed := range uint64(30) {
-		if play(seed) != play(seed) {
+		if first, second := play(seed), play(seed); first != second {
 			t.Fatalf("seed %d plays differently each time", seed)
 		}
 	}
