Decisions: control.go split into files by job, all under policy

Need: one file of 798 lines held every decision; a reader could not find one by name. Moves only: each function stands unchanged in a file named for its job, constants stay in one block in control.go, Settle alone (reconcile.go) emits actions. The settings' record and the rate of requests, which decide nothing, went to state.go.

--- a/control/api.go
+++ b/control/api.go
@@ -1,5 +1,9 @@
-// Package control decides where each inference goes. This file is its interface: ids, the events a host
-// feeds in, the settings, and the actions that come out. The decisions stand in control.go.
+// Package control decides where each inference goes. There is one Dispatcher for each dispatcher process, made by New and
+// driven through the interface Module: At, then the events of that moment, then Settle. Handlers change the wanted state:
+// what each inference in hand should be (held, out, shed, failed), which orders, probes and timer should be out. Settle
+// alone emits the difference to what is out. docs/design.md says what each file decides.
+//
+// This file is the interface: ids, the events a host feeds in, the settings, and the actions that come out.
 package control
 
 // Times and spans are seconds with fractions, counted from the dispatcher's own start.
--- a/control/settings.go
+++ b/control/settings.go
@@ -5,19 +5,8 @@
 	"strconv"
 )
 
-// The settings are read once: looking names up costs more than deciding. One that is missing has the default that
-// stands with it here; one that can't be used has it too, and is reported by Check and in the log.
-
-// settings is what they say.
-type settings struct {
-	tick, askEvery, fall, warmAfter, keep, window, retryMost Seconds
-	coldShare, overload, few, share, dispatchers             float64
-	most, homes                                              int // forwards of one inference; homes asked for a report
-	second, cancel, probes, orders, asked                    bool
-	counts                                                   []int // which values of a report tell inferences held
-	groups                                                   []*modelGroup
-	quotas                                                   []float64 // of tenants, inferences a second
-}
+// The settings are read once: looking names up costs more than deciding. One that is missing has the default
+// that stands here; one that can't be used has it too, and is reported by Check and in the log.
 
 func read(from Settings) (settings, *settingsReader) {
 	r := &settingsReader{from: from}
--- a/control/state.go
+++ b/control/state.go
@@ -306,6 +306,17 @@
 	r.want = wantOut
 }
 
+// settings is what they say.
+type settings struct {
+	tick, askEvery, fall, warmAfter, keep, window, retryMost Seconds
+	coldShare, overload, few, share, dispatchers             float64
+	most, homes                                              int // forwards of one inference; homes asked for a report
+	second, cancel, probes, orders, asked                    bool
+	counts                                                   []int // which values of a report tell inferences held
+	groups                                                   []*modelGroup
+	quotas                                                   []float64 // of tenants, inferences a second
+}
+
 // Dispatcher is the state of one dispatcher.
 type Dispatcher struct {
 	told       settings
@@ -481,3 +492,16 @@
 	d.hand.shrink(slabLeast)
 	d.look()
 }
+
+// taken is how many inferences a second this dispatcher takes, worked out once for each moment.
+func (d *Dispatcher) taken() float64 {
+	if d.rateAt != d.now || d.rateOf != d.asked {
+		span := homeSpan * (1 - math.Exp(-math.Max(1, d.now)/homeSpan))
+		d.rate = d.asked * math.Exp((d.askedAt-d.now)/homeSpan) / span
+		d.rateAt, d.rateOf = d.now, d.asked
+	}
+	return d.rate
+}
+
+// seen is how many of those come for each worker.
+func (d *Dispatcher) seen() float64 { return d.taken() / math.Max(1, float64(d.ready)) }
