--- a/control/answer_test.go
+++ b/control/answer_test.go
@@ -2,22 +2,22 @@
 
 import "testing"
 
-// TestGivenUpIsAnsweredAtOnce plays the drawn worlds. An inference that is given up on has its final answer in the same
-// batch; one that was forwarded, is held here and may go to no worker any more is held no longer than two looks.
+// TestGivenUpIsAnsweredAtOnce plays the drawn worlds. A request that is given up on has its final answer in the same
+// batch; one that was sent on, is held here and may go to no worker any more is held no longer than two looks.
 func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
-	const patience = lookLong + 2*scan
+	const patience = heldRetryInterval + 2*sweepInterval
 	late, seen := 0, 0
 	for seed := range uint64(40) {
-		since := map[InferenceID]Seconds{} // since when nothing could be done for it
+		since := map[RequestID]Seconds{} // since when nothing could be done for it
 		world(seed, func(w *drawn) {
-			for _, r := range w.d.hand.all {
+			for _, r := range w.d.inFlight.slots {
 				if !r.live {
 					continue
 				}
-				if r.want == wantShed || r.want == wantFail {
+				if r.state == stateShed || r.state == stateFail {
 					t.Errorf("seed %d: inference %d is given up on and was not answered", seed, r.id)
 				}
-				if r.want != wantHold || r.n == 0 || w.d.mayGoOn(r) {
+				if r.state != stateHeld || r.attempted == 0 || w.d.mayGoOn(r) {
 					delete(since, r.id)
 					continue
 				}
@@ -36,10 +36,10 @@
 	}
 }
 
-// mayGoOn tells whether the rules let an inference go to any worker now.
-func (d *Dispatcher) mayGoOn(r *inference) bool {
+// mayGoOn tells whether the rules let a request go to any worker now.
+func (d *Dispatcher) mayGoOn(r *request) bool {
 	for _, w := range d.workers {
-		if d.may(r, w) {
+		if d.allowed(r, w) {
 			return true
 		}
 	}
--- a/control/api.go
+++ b/control/api.go
@@ -1,6 +1,6 @@
-// Package control decides where each inference goes. There is one Dispatcher for each dispatcher process, made by New and
+// Package control decides where each request goes. There is one Dispatcher for each dispatcher process, made by New and
 // driven through the interface Module: At, then the events of that moment, then Settle. Handlers change the wanted state:
-// what each inference in hand should be (held, out, shed, failed), which orders, probes and timer should be out. Settle
+// what each request in flight should be (held, out, shed, failed), which orders, probes and timer should be out. Settle
 // alone emits the difference to what is out. docs/design.md says what each file decides.
 //
 // This file is the interface: ids, the events a host feeds in, the settings, and the actions that come out.
@@ -11,22 +11,22 @@
 
 // Each kind of id is a type of its own; none tells anything beyond identity.
 type (
-	InferenceID uint32
-	WorkerID    uint64
-	ModelID     uint64
-	GroupID     uint16 // model group
-	TenantID    uint16
-	ZoneID      uint16
-	KindID      uint8
-	CellID      uint16
-	PeerID      uint16
-	TimerID     uint32
+	RequestID uint32
+	WorkerID  uint64
+	ModelID   uint64
+	GroupID   uint16 // model group
+	TenantID  uint16
+	ZoneID    uint16
+	KindID    uint8
+	CellID    uint16
+	PeerID    uint16
+	TimerID   uint32
 )
 
-// AllPeers addresses a note to every fellow dispatcher.
+// AllPeers addresses a note to every peer.
 const AllPeers = PeerID(0xffff)
 
-// Result says how a forward, an order or a probe ended.
+// Result says how an attempt, an order or a probe ended.
 type Result uint8
 
 const (
@@ -37,17 +37,19 @@
 	ConnectFailed               // no connection came about
 	Reset                       // connection lost; may have run
 	Cancelled                   // called off; may have run
-	Moot                        // never sent
+	NotSent                     // never sent
 	Missed                      // no copy there, or the load waited for failed
 )
 
-// NeverRan tells whether the result proves that the forward did not run.
-func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot || r == Missed }
+// NeverRan tells whether the result proves that the attempt did not run.
+func (r Result) NeverRan() bool {
+	return r == Full || r == ConnectFailed || r == NotSent || r == Missed
+}
 
 // Heard tells whether the result came from the worker itself.
 func (r Result) Heard() bool { return r == Returned || r == Errored || r == Full || r == Missed }
 
-// Found says how an inference found its model on the worker.
+// Found says how a request found its model on the worker.
 type Found uint8
 
 const (
@@ -88,10 +90,10 @@
 	ListFailed
 )
 
-// Inference is a client's call as it comes in. NotAfter is +Inf where not told; Work and Load are 0 where
+// Request is a client's call as it comes in. NotAfter is +Inf where not told; Work and Load are 0 where
 // not told.
-type Inference struct {
-	ID       InferenceID
+type Request struct {
+	ID       RequestID
 	Model    ModelID
 	Group    GroupID
 	Tenant   TenantID
@@ -103,11 +105,11 @@
 	Repeat   bool
 }
 
-// Outcome tells how one forward ended. Crowd is the count of same-model inferences the worker held, -1 if
+// Outcome tells how one attempt ended. Crowd is the count of same-model requests the worker held, -1 if
 // not told.
 type Outcome struct {
-	ID      InferenceID
-	Forward int
+	ID      RequestID
+	Attempt int
 	Worker  WorkerID
 	Took    Seconds
 	Result  Result
@@ -134,12 +136,12 @@
 	Report []float64
 }
 
-// Actions is how the module acts; all act at the time of the event in hand.
+// Actions is how the module acts; all act at the time of the event at hand.
 type Actions interface {
-	Forward(id InferenceID, w WorkerID, timeout Seconds) // timeout 0: until the client's time is up
-	Shed(id InferenceID, retryAfter Seconds)
-	Fail(id InferenceID)
-	Cancel(id InferenceID, forward int)
+	Attempt(id RequestID, w WorkerID, timeout Seconds) // timeout 0: until the client's time is up
+	Shed(id RequestID, retryAfter Seconds)
+	Fail(id RequestID)
+	Cancel(id RequestID, attempt int)
 	Order(w WorkerID, m ModelID, copies int)
 	Unload(w WorkerID, m ModelID)
 	Probe(w WorkerID)
@@ -156,10 +158,10 @@
 type Module interface {
 	At(now Seconds)
 	Workers(kind ListKind, version uint32, list []WorkerInfo)
-	Inference(q Inference)
-	Streaming(id InferenceID, forward int, w WorkerID, took Seconds)
+	Request(q Request)
+	Streaming(id RequestID, attempt int, w WorkerID, took Seconds)
 	Outcome(o Outcome)
-	Withdrawn(id InferenceID)
+	Withdrawn(id RequestID)
 	Ordered(o OrderResult)
 	Probed(o ProbeResult)
 	Told(from PeerID, note []byte)
--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -10,7 +10,7 @@
 // coldRun is a fleet of dispatchers in simulated time with workers of which some start cold at once.
 type coldRun struct {
 	dispatchers, workers, cold int
-	rate                       float64 // inferences a second for each worker, of all dispatchers
+	rate                       float64 // requests a second for each worker, of all dispatchers
 	uneven                     bool    // some dispatchers see several times the mean, most see less
 	restart                    float64 // share of the dispatchers that start anew as the workers come
 	models                     int
@@ -21,7 +21,7 @@
 	coldAt   = 6.0 // s, when the cold workers start and are told of
 	coldEnd  = 12.0
 	coldStep = 0.01
-	coldWork = 0.2 // s of one inference
+	coldWork = 0.2 // s of one request
 )
 
 // fleetNode is one dispatcher; its actions are kept until the worker's answer is due.
@@ -33,20 +33,20 @@
 	due   []coldDue
 	wake  bool
 	sent  func(w WorkerID)
-	next  InferenceID
+	next  RequestID
 	now   float64
-	went  map[InferenceID]int
+	went  map[RequestID]int
 }
 
 type coldDue struct {
 	at   float64
-	id   InferenceID
+	id   RequestID
 	n    int
 	w    WorkerID
 	prob bool
 }
 
-func (f *fleetNode) Forward(id InferenceID, w WorkerID, _ Seconds) {
+func (f *fleetNode) Attempt(id RequestID, w WorkerID, _ Seconds) {
 	f.sent(w)
 	f.due = append(f.due, coldDue{at: f.now + coldWork, id: id, n: f.went[id], w: w})
 	f.went[id]++
@@ -54,9 +54,9 @@
 func (f *fleetNode) Probe(w WorkerID) {
 	f.due = append(f.due, coldDue{at: f.now + 0.002, w: w, prob: true})
 }
-func (f *fleetNode) Shed(InferenceID, Seconds)    {}
-func (f *fleetNode) Fail(InferenceID)             {}
-func (f *fleetNode) Cancel(InferenceID, int)      {}
+func (f *fleetNode) Shed(RequestID, Seconds)      {}
+func (f *fleetNode) Fail(RequestID)               {}
+func (f *fleetNode) Cancel(RequestID, int)        {}
 func (f *fleetNode) Order(WorkerID, ModelID, int) {}
 func (f *fleetNode) Subscribe(bool)               {}
 func (f *fleetNode) Wake(Seconds, TimerID)        { f.wake = true }
@@ -66,7 +66,7 @@
 	const fall, warmAfter, share, overload = 1.0, 8.0, 0.25, 2.0
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	set := Settings{"dispatchers": float64(c.dispatchers), "rules.fall": fall, "rules.warm_after": warmAfter,
-		"rules.cold_share": share, "rules.overload_factor": overload, "limits.max_forwards": 3.0, "limits.second_copies": true,
+		"rules.cold_share": share, "rules.overload_factor": overload, "limits.max_attempts": 3.0, "limits.hedging": true,
 		"limits.cancel": true, "limits.probes": true, "limits.retry_after": true, "limits.max_retry_after": 0.5, "models.keep": 8.0, "models.on_miss": "load",
 		"load_report.fields": 2.0, "load_report.fields.0": "inflight", "load_report.fields.1": "queue", "groups": 1.0,
 		"groups.0.effect": "retriable", "groups.0.slo": 1.0, "groups.0.timeout": 5.0, "prices.probe": c.price}
@@ -76,19 +76,19 @@
 	list := func(born float64) (l []WorkerInfo) {
 		for i := range c.workers {
 			if start := math.Inf(-1); i >= c.cold {
-				l = append(l, WorkerInfo{ID: WorkerID(mix(uint64(i) + seed<<20)), State: Ready, Start: start, Weight: 1})
+				l = append(l, WorkerInfo{ID: WorkerID(hash(uint64(i) + seed<<20)), State: Ready, Start: start, Weight: 1})
 			} else if now >= coldAt {
-				l = append(l, WorkerInfo{ID: WorkerID(mix(uint64(i) + seed<<20)), State: Ready, Start: coldAt - born, Weight: 1})
+				l = append(l, WorkerInfo{ID: WorkerID(hash(uint64(i) + seed<<20)), State: Ready, Start: coldAt - born, Weight: 1})
 			}
 		}
 		return l
 	}
 	index := map[WorkerID]int{}
 	for i := range c.workers {
-		index[WorkerID(mix(uint64(i)+seed<<20))] = i
+		index[WorkerID(hash(uint64(i)+seed<<20))] = i
 	}
 	fresh := func(n *fleetNode) {
-		n.born, n.now, n.due, n.wake, n.went = now, 0, nil, false, map[InferenceID]int{}
+		n.born, n.now, n.due, n.wake, n.went = now, 0, nil, false, map[RequestID]int{}
 		n.d = New(rnd.Uint64(), set, n)
 		n.d.At(0)
 		n.d.Workers(ListComplete, 1, list(now))
@@ -144,7 +144,7 @@
 					n.d.Probed(ProbeResult{Worker: o.w, Result: Returned, Took: 0.002, Report: report})
 				} else {
 					out[index[o.w]]--
-					n.d.Outcome(Outcome{ID: o.id, Forward: o.n, Worker: o.w, Took: coldWork, Result: Returned, Found: FoundWarm, Crowd: -1, Final: true, Report: report})
+					n.d.Outcome(Outcome{ID: o.id, Attempt: o.n, Worker: o.w, Took: coldWork, Result: Returned, Found: FoundWarm, Crowd: -1, Final: true, Report: report})
 				}
 			}
 			if n.wake {
@@ -156,7 +156,7 @@
 			for p := rnd.ExpFloat64(); p < mean; p += rnd.ExpFloat64() {
 				begin()
 				n.next++
-				n.d.Inference(Inference{ID: n.next, Model: ModelID(1 + int(float64(c.models)*math.Pow(rnd.Float64(), 2))), Work: coldWork, Load: 1, NotAfter: n.now + 5, Tenant: math.MaxUint16})
+				n.d.Request(Request{ID: n.next, Model: ModelID(1 + int(float64(c.models)*math.Pow(rnd.Float64(), 2))), Work: coldWork, Load: 1, NotAfter: n.now + 5, Tenant: math.MaxUint16})
 			}
 			if busy {
 				n.d.Settle()
@@ -206,13 +206,13 @@
 	}
 }
 
-// A tenant whose share is under one inference a second at a dispatcher is not beyond it all the time.
+// A tenant whose share is under one request a second at a dispatcher is not beyond it all the time.
 func TestSmallShareOfATenant(t *testing.T) {
 	for _, quota := range []float64{0.2, 1, 5} {
 		d := New(1, Settings{"dispatchers": 10.0, "tenants": 1.0, "tenants.0.quota": 10 * quota}, &fleetNode{})
 		over := 0
 		for i := range 100 { // at nine tenths of the share
-			if d.tenants[0].beyond(float64(i) / (0.9 * quota)) {
+			if d.tenants[0].overQuota(float64(i) / (0.9 * quota)) {
 				over++
 			}
 		}
@@ -220,7 +220,7 @@
 			t.Errorf("quota %g: %d of 100 beyond the share", quota, over)
 		}
 		for i := range 100 { // at twice the share
-			if d.tenants[0].beyond(200/quota + float64(i)/(2*quota)) {
+			if d.tenants[0].overQuota(200/quota + float64(i)/(2*quota)) {
 				over++
 			}
 		}
--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -13,13 +13,13 @@
 	n    int
 }
 
-func (q *answering) Forward(i InferenceID, w WorkerID, _ Seconds) {
+func (q *answering) Attempt(i RequestID, w WorkerID, _ Seconds) {
 	q.at = append(q.at, q.now+0.05)
 	q.sent = append(q.sent, Outcome{ID: i, Worker: w, Took: 0.05, Found: FoundWarm, Crowd: -1, Final: true})
 }
-func (q *answering) Shed(InferenceID, Seconds)    { q.n++ }
-func (q *answering) Fail(InferenceID)             { q.n++ }
-func (q *answering) Cancel(InferenceID, int)      {}
+func (q *answering) Shed(RequestID, Seconds)      { q.n++ }
+func (q *answering) Fail(RequestID)               { q.n++ }
+func (q *answering) Cancel(RequestID, int)        {}
 func (q *answering) Order(WorkerID, ModelID, int) {}
 func (q *answering) Unload(WorkerID, ModelID)     {}
 func (q *answering) Probe(WorkerID)               {}
@@ -30,8 +30,8 @@
 func (q *answering) Wake(Seconds, TimerID)        {}
 func (q *answering) Log(string)                   {}
 
-// BenchmarkInference is one inference from arrival to its answer, without trouble, by number of workers.
-func BenchmarkInference(b *testing.B) {
+// BenchmarkRequest is one request from arrival to its answer, without trouble, by number of workers.
+func BenchmarkRequest(b *testing.B) {
 	for _, c := range []struct{ n, fellows int }{{16, 1}, {90, 1}, {1000, 1}, {16, 2}, {90, 2}, {1000, 2}, {90, 300}, {1000, 300}} {
 		n := c.n
 		share := 1.0 // of the load that this dispatcher takes
@@ -40,23 +40,23 @@
 		}
 		b.Run(fmt.Sprintf("%d workers, %d dispatchers", n, c.fellows), func(b *testing.B) {
 			a := &answering{}
-			d := New(1, Settings{"limits.max_forwards": 3.0, "limits.second_copies": true, "models.keep": 8.0, "groups": 1.0, "dispatchers": float64(c.fellows), "groups.0.effect": "retriable",
+			d := New(1, Settings{"limits.max_attempts": 3.0, "limits.hedging": true, "models.keep": 8.0, "groups": 1.0, "dispatchers": float64(c.fellows), "groups.0.effect": "retriable",
 				"groups.0.slo": 1.0, "groups.0.timeout": 5.0, "rules.warm_after": 10.0, "rules.cold_share": 0.2, "tick": 0.001,
 				"load_report.fields": 1.0, "load_report.fields.0": "inflight"}, a)
 			var list []WorkerInfo
 			for i := range n {
 				list = append(list, WorkerInfo{ID: WorkerID(i + 1), State: Ready, Weight: 1, Start: -1e6})
 			}
-			now, id, first := 0.0, InferenceID(0), 0
+			now, id, first := 0.0, RequestID(0), 0
 			d.At(0)
 			d.Workers(ListComplete, 1, list)
 			d.Settle()
 			one := func() {
 				id++
-				now += 0.05 / (2 * float64(n)) / share // two in hand at each worker, of all dispatchers
+				now += 0.05 / (2 * float64(n)) / share // two in flight at each worker, of all dispatchers
 				a.now = now
 				d.At(now)
-				d.Inference(Inference{ID: id, Model: ModelID(id % InferenceID(2*n)), NotAfter: now + 5})
+				d.Request(Request{ID: id, Model: ModelID(id % RequestID(2*n)), NotAfter: now + 5})
 				d.Settle()
 				for first < len(a.at) && a.at[first] <= now {
 					d.Outcome(a.sent[first])
--- a/control/estimates.go
+++ b/control/estimates.go
@@ -2,29 +2,29 @@
 
 import "math"
 
-// probe asks some homes of the model, by chance, what they hold, where that is allowed, own traffic is too
-// thin to tell and no report is new; the inference is held for the answers, or a look or two. Fewer or none
-// are asked where the settings price a probe above what it gains: all dispatchers together pay for theirs.
-func (d *Dispatcher) probe(r *inference) bool {
-	if r.probed || r.n > 0 || !d.sparse || len(d.told.counts) == 0 || !d.told.probes || d.told.homes == 0 {
+// probeCandidates asks some preferred workers of the model, by chance, what they hold, where that is allowed,
+// own traffic is too thin to tell and no report is new; the request is held for the answers, a sweep or two.
+// Fewer or none are asked where a probe is priced above what it gains: all dispatchers pay for theirs.
+func (d *Dispatcher) probeCandidates(r *request) bool {
+	if r.probed || r.attempted > 0 || !d.sparseTraffic || len(d.inFlightFields) == 0 || !d.probing {
 		return false
 	}
-	n := min(len(d.top), max(r.model.homes, probeHomes))
-	for i := range min(n, d.told.homes) {
-		j := i + int(d.rnd.share()*float64(n-i))
-		d.top[i], d.top[j] = d.top[j], d.top[i]
-		if w := d.top[i]; w.heldAt < d.now-probeFresh {
-			d.probes = append(d.probes, w)
+	n := min(len(d.candidates), max(r.model.preferred, probeCount))
+	for i := range min(n, d.probesMax) {
+		j := i + int(d.rnd.float()*float64(n-i))
+		d.candidates[i], d.candidates[j] = d.candidates[j], d.candidates[i]
+		if w := d.candidates[i]; w.reportedAt < d.now-probeMaxAge {
+			d.wantedProbes = append(d.wantedProbes, w)
 			r.probed = true
 		}
 	}
 	return r.probed
 }
 
-// report takes what a worker reports to hold; those that wait there count twice where they are told apart.
-func (d *Dispatcher) report(w *worker, told []float64, weight float64) {
+// takeReport takes what a worker reports to hold; those that wait there count twice where told apart.
+func (d *Dispatcher) takeReport(w *worker, told []float64, weight float64) {
 	held := 0.0
-	for _, i := range d.told.counts {
+	for _, i := range d.inFlightFields {
 		if i >= len(told) {
 			return
 		}
@@ -33,49 +33,50 @@
 	if !(held >= 0 && held < never) {
 		return
 	}
-	w.held = d.holds(w)
-	w.held, w.heldAt = w.held+weight*(held-w.held), d.now
+	w.reported = d.estimatedInFlight(w)
+	w.reported, w.reportedAt = w.reported+weight*(held-w.reported), d.now
 }
 
-// queue is the run time queued at a worker: ours, and for fellows' what it reports to hold where own traffic
-// is sparse, else for each as much as ours is there over time, since all share the same homes of models.
-func (d *Dispatcher) queue(w *worker) Seconds {
-	if d.sparse && len(d.told.counts) > 0 {
-		return max(w.work, d.holds(w)*d.run/atOnce)
+// queuedWork is the run time queued at a worker: ours, and for peers' what it reports where own traffic is
+// sparse, else for each as much as ours is there over time, since all prefer the same workers for a model.
+func (d *Dispatcher) queuedWork(w *worker) Seconds {
+	if d.sparseTraffic && len(d.inFlightFields) > 0 {
+		return max(w.queued, d.estimatedInFlight(w)*d.runTime/workerCores)
 	}
-	if d.told.dispatchers > 1 && w.meanAt < d.now {
-		if d.easedFrom != w.meanAt || d.easedTo != d.now { // most were looked at together the last time too
-			d.easedFrom, d.easedTo, d.eased = w.meanAt, d.now, 1-math.Exp((w.meanAt-d.now)/meanSpan)
+	if d.dispatchers > 1 && w.meanQueuedAt < d.now {
+		if d.meanFrom != w.meanQueuedAt || d.meanTo != d.now { // most were looked at together the last time too
+			d.meanFrom, d.meanTo = w.meanQueuedAt, d.now
+			d.meanWeight = 1 - math.Exp((d.meanFrom-d.meanTo)/peerWorkSpan)
 		}
-		w.mean += (w.work - w.mean) * d.eased
-		w.meanAt = d.now
+		w.meanQueued += (w.queued - w.meanQueued) * d.meanWeight
+		w.meanQueuedAt = d.now
 	}
-	return w.work + (d.told.dispatchers-1)*w.mean
+	return w.queued + (d.dispatchers-1)*w.meanQueued
 }
 
-// holds is how many inferences a worker holds by its reports, drawn as they age to what the fleet must hold
-// on average by Little's law (the mean of the reports themselves leans to the busy workers).
-func (d *Dispatcher) holds(w *worker) float64 {
-	mean := d.told.dispatchers * d.taken() * d.run / math.Max(1, float64(d.ready))
-	return mean + (w.held-mean)*math.Exp((w.heldAt-d.now)/reportSpan)
+// estimatedInFlight is how many requests a worker holds by its reports, drawn as they age to what the fleet
+// must hold on average by Little's law (the mean of the reports themselves leans to the busy workers).
+func (d *Dispatcher) estimatedInFlight(w *worker) float64 {
+	mean := d.dispatchers * d.requestRate() * d.runTime / math.Max(1, float64(d.readyWorkers))
+	return mean + (w.reported-mean)*math.Exp((w.reportedAt-d.now)/reportSpan)
 }
 
-func (d *Dispatcher) learn(r *inference, f *forward, o Outcome) {
+func (d *Dispatcher) learn(r *request, f *attempt, o Outcome) {
 	m, g := r.model, r.group
 	switch {
-	case o.Found == FoundWarm || o.Found == NotTold && !f.load:
-		ease(&m.run, &m.timed, o.Took, blend)
-		d.run += blend / 2 * (o.Took - d.run)
-		ease(&g.run, &g.timed, o.Took, blend)
-		if r.work == 0 {
-			g.work += blend * (o.Took - g.work)
+	case o.Found == FoundWarm || o.Found == NotTold && !f.loading:
+		smooth(&m.runTime, &m.runKnown, o.Took, smoothing)
+		d.runTime += smoothing / 2 * (o.Took - d.runTime)
+		smooth(&g.runTime, &g.runKnown, o.Took, smoothing)
+		if r.workHint == 0 {
+			g.meanWork += smoothing * (o.Took - g.meanWork)
 		}
 	case o.Found == BeganLoad:
-		d.loaded(m, math.Max(0, o.Took-m.run))
+		d.learnLoadTime(m, math.Max(0, o.Took-m.runTime))
 	}
 }
 
-func (d *Dispatcher) loaded(m *model, took Seconds) {
-	ease(&m.load, &m.heard, took, blend)
-	m.group.load += blend * (took - m.group.load)
+func (d *Dispatcher) learnLoadTime(m *model, took Seconds) {
+	smooth(&m.loadTime, &m.loadKnown, took, smoothing)
+	m.group.loadTime += smoothing * (took - m.group.loadTime)
 }
--- a/control/forget_test.go
+++ b/control/forget_test.go
@@ -5,9 +5,9 @@
 // Months in service: names of models, workers replaced and bursts must not stay for ever.
 func TestWhatWasSeenOnceIsForgotten(t *testing.T) {
 	a := &answering{}
-	d := New(1, Settings{"limits.max_forwards": 3.0, "models.keep": 8.0, "groups": 1.0, "groups.0.effect": "retriable", "groups.0.slo": 1.0,
+	d := New(1, Settings{"limits.max_attempts": 3.0, "models.keep": 8.0, "groups": 1.0, "groups.0.effect": "retriable", "groups.0.slo": 1.0,
 		"groups.0.timeout": 5.0, "tick": 0.001}, a)
-	now, id := 0.0, InferenceID(0)
+	now, id := 0.0, RequestID(0)
 	at := func(s Seconds, f func()) { now += s; a.now = now; d.At(now); f(); d.Settle() }
 	list := func(day, n int) (l []WorkerInfo) {
 		for i := range n {
@@ -17,7 +17,7 @@
 	}
 	ask := func(m ModelID) {
 		id++
-		at(1e-4, func() { d.Inference(Inference{ID: id, Model: m, NotAfter: now + 60}) })
+		at(1e-4, func() { d.Request(Request{ID: id, Model: m, NotAfter: now + 60}) })
 	}
 	answer := func() {
 		sent := a.sent
@@ -34,15 +34,15 @@
 		answer()
 		at(0.01, func() { d.Timer(0) })
 	}
-	if len(d.workers) > 400 || len(d.known) != len(d.workers) || d.indexes > 600 { // two days in the list, and the next as it comes
-		t.Errorf("%d workers, %d known, %d indexes after 6,000 replaced", len(d.workers), len(d.known), d.indexes)
+	if len(d.workers) > 400 || len(d.workersByID) != len(d.workers) || d.nextIndex > 600 { // two days in the list, and the next as it comes
+		t.Errorf("%d workers, %d known, %d indexes after 6,000 replaced", len(d.workers), len(d.workersByID), d.nextIndex)
 	}
 	for _, m := range d.models {
-		if len(m.places) > 600 {
-			t.Fatalf("%d places", len(m.places))
+		if len(m.replicas) > 600 {
+			t.Fatalf("%d places", len(m.replicas))
 		}
-		for _, pl := range m.places {
-			if pl != nil && d.known[pl.worker.ID] != pl.worker {
+		for _, rep := range m.replicas {
+			if rep != nil && d.workersByID[rep.worker.ID] != rep.worker {
 				t.Fatal("a place at a worker that is forgotten")
 			}
 		}
@@ -55,29 +55,29 @@
 		}
 	}
 	answer()
-	if len(d.models) > modelsMost+1 {
+	if len(d.models) > modelsMax+1 {
 		t.Errorf("%d models are kept", len(d.models))
 	}
 	before := a.n
 	for range 3_000 { // a burst, held while nothing is answered
 		ask(5)
 	}
-	if len(d.hand.all) < 3_000 {
-		t.Fatalf("%d in hand", len(d.hand.all))
+	if len(d.inFlight.slots) < 3_000 {
+		t.Fatalf("%d in hand", len(d.inFlight.slots))
 	}
-	for i := 0; len(d.hand.byID) > 0; i++ {
+	for i := 0; len(d.inFlight.byID) > 0; i++ {
 		if i == 10_000 {
-			t.Fatalf("%d are in hand for ever", len(d.hand.byID))
+			t.Fatalf("%d are in hand for ever", len(d.inFlight.byID))
 		}
 		answer()
 		at(0.01, func() { d.Timer(0) })
 	}
 	at(0.01, func() { d.Timer(0) })
-	if len(d.hand.all) > slabLeast || a.n != before {
-		t.Errorf("%d places of the slab after the burst; %d shed", len(d.hand.all), a.n-before)
+	if len(d.inFlight.slots) > tableMin || a.n != before {
+		t.Errorf("%d places of the slab after the burst; %d shed", len(d.inFlight.slots), a.n-before)
 	}
 	ask(5) // and it goes on
 	if len(a.sent) != 1 {
-		t.Error("no forward after all that")
+		t.Error("no attempt after all that")
 	}
 }
--- a/control/health.go
+++ b/control/health.go
@@ -1,32 +1,32 @@
 package control
 
-// blame finds the narrowest scope that a failure speaks of. Where the worker did well by another tenant or
+// failureScope finds the narrowest scope a failure speaks of. Where the worker did well by another tenant or
 // model group since, and that is the latest heard of others, it speaks of this tenant and group there only.
-func (d *Dispatcher) blame(w *worker, side int, since Seconds) *health {
-	last := health{at: since}
-	for i, h := range w.sides {
-		if i != side && h.at > last.at {
+func (d *Dispatcher) failureScope(w *worker, side int, since Seconds) *health {
+	last := health{answeredAt: since}
+	for i, h := range w.classes {
+		if i != side && h.answeredAt > last.answeredAt {
 			last = h
 		}
 	}
-	if last.ok {
-		return &w.sides[side]
+	if last.answeredWell {
+		return &w.classes[side]
 	}
 	return &w.health
 }
 
-// judge keeps a failure share, sets aside by it and brings back by a trickle that doubles.
-func (d *Dispatcher) judge(h *health, ok bool) {
-	was := h.aside
+// recordResult keeps a failure share, ejects by it and brings back by a ramp-up that doubles.
+func (d *Dispatcher) recordResult(h *health, ok bool) {
+	was := h.ejected
 	if ok {
-		h.bad, h.fulls, h.rate = h.bad-badBlend*h.bad, 0, 2*h.rate
-		if h.aside && h.rate >= trickleBack {
-			h.aside, h.bad = false, badAside/2 // one more failure sets it aside again
+		h.failureShare, h.fullCount, h.rampRate = h.failureShare-failureSmoothing*h.failureShare, 0, 2*h.rampRate
+		if h.ejected && h.rampRate >= rampDone {
+			h.ejected, h.failureShare = false, ejectAt/2 // one more failure sets it aside again
 		}
-	} else if h.bad += badBlend * (1 - h.bad); h.bad > badAside || h.aside {
-		h.aside, h.rate, h.next = true, trickleFirst, d.now+1/trickleFirst
+	} else if h.failureShare += failureSmoothing * (1 - h.failureShare); h.failureShare > ejectAt || h.ejected {
+		h.ejected, h.rampRate, h.nextAttemptAt = true, rampStart, d.now+1/rampStart
 	}
-	if h.aside != was {
-		d.countReady()
+	if h.ejected != was {
+		d.countWorkers()
 	}
 }
--- a/control/membership.go
+++ b/control/membership.go
@@ -2,12 +2,14 @@
 
 import "math"
 
+// Workers takes a list of workers, or the word that a call to discovery failed.
 func (d *Dispatcher) Workers(kind ListKind, _ uint32, list []WorkerInfo) {
 	if kind == ListFailed {
-		d.askAt, d.askGap = d.now+d.askGap, math.Min(2*d.askGap, d.told.askEvery)
+		d.subscribeAt = d.now + d.subscribeBackoff
+		d.subscribeBackoff = math.Min(2*d.subscribeBackoff, d.askEvery)
 		return
 	} else if kind != ListCached {
-		d.askGap = askFirst
+		d.subscribeBackoff = subscribeBackoffMin
 	}
 	if kind != ListChanges {
 		for _, w := range d.workers {
@@ -15,31 +17,31 @@
 		}
 	}
 	for _, l := range list {
-		w := d.known[l.ID]
+		w := d.workersByID[l.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: l, index: d.index(), coldAt: math.Inf(-1), heldAt: math.Inf(-1),
-				goneAt: math.Inf(1), sides: make([]health, len(d.told.groups)*d.sidesEach)}
-			d.known[l.ID] = w
+			w = &worker{WorkerInfo: l, index: d.allocIndex(), coldNextAt: math.Inf(-1), reportedAt: math.Inf(-1),
+				goneAt: math.Inf(1), classes: make([]health, len(d.groups)*d.tenantClasses)}
+			d.workersByID[l.ID] = w
 			d.workers = append(d.workers, w)
 		} else if l.Start > w.Start {
-			d.fresh(w)
+			d.restarted(w)
 		}
 		w.WorkerInfo = l
 	}
-	d.forgetWorkers(goneLong)
-	d.countReady()
-	d.changed = true
-	d.look()
+	d.forgetWorkers(forgetGoneAfter)
+	d.countWorkers()
+	d.heardNews = true
+	d.sweep()
 }
 
-// fresh forgets what was believed of a worker that started anew: it is empty, and owed a new judgement.
-func (d *Dispatcher) fresh(w *worker) {
+// restarted forgets what was believed of a worker that started anew: it is empty, and owed a new judgement.
+func (d *Dispatcher) restarted(w *worker) {
 	for _, m := range d.models {
-		if w.index < len(m.places) && m.places[w.index] != nil {
-			m.places[w.index].warm, m.places[w.index].noRoom = math.Inf(-1), 0
+		if w.index < len(m.replicas) && m.replicas[w.index] != nil {
+			m.replicas[w.index].warmUntil, m.replicas[w.index].noRoomUntil = math.Inf(-1), 0
 		}
 	}
-	clear(w.sides)
-	w.health, w.coldAt = health{}, math.Inf(-1)
-	d.countReady()
+	clear(w.classes)
+	w.health, w.coldNextAt = health{}, math.Inf(-1)
+	d.countWorkers()
 }
--- a/control/outcome.go
+++ b/control/outcome.go
@@ -2,79 +2,81 @@
 
 import "math"
 
+// Outcome learns from the end of an attempt, and goes on with its request where that has no answer yet.
 func (d *Dispatcher) Outcome(o Outcome) {
-	r := d.hand.find(o.ID)
-	if r == nil || o.Forward < 0 || o.Forward >= r.n || r.forwards[o.Forward].fate != fateOut {
+	r := d.inFlight.lookup(o.ID)
+	if r == nil || o.Attempt < 0 || o.Attempt >= r.attempted || r.attempts[o.Attempt].state != attemptPending {
 		return
 	}
-	f := &r.forwards[o.Forward]
-	w, m := f.to, r.model
-	pl := m.at(w)
-	d.changed = true
-	d.queue(w)
-	d.unbook(r, f, pl)
-	if f.fate = fateMay; o.Result.NeverRan() {
-		f.fate = fateNever
+	a := &r.attempts[o.Attempt]
+	w, m := a.worker, r.model
+	rep := m.replica(w)
+	d.heardNews = true
+	d.queuedWork(w)
+	d.settleAttempt(r, a, rep)
+	if a.state = attemptMayHaveRun; o.Result.NeverRan() {
+		a.state = attemptNeverRan
 	}
-	side := &w.sides[r.side]
+	side := &w.classes[r.class]
 	if o.Result.Heard() {
-		side.at, side.ok = d.now, o.Result == Returned || o.Result == Missed
+		side.answeredAt, side.answeredWell = d.now, o.Result == Returned || o.Result == Missed
 	}
-	d.report(w, o.Report, reportBlend)
-	if o.Result == Returned && o.Forward > 0 {
-		d.furtherOK += blend * (1 - d.furtherOK)
-	} else if o.Forward > 0 && o.Result != Cancelled && o.Result != Missed {
-		d.furtherOK -= blend * d.furtherOK
+	d.takeReport(w, o.Report, reportSmoothing)
+	if o.Result == Returned && o.Attempt > 0 {
+		d.retrySuccess += smoothing * (1 - d.retrySuccess)
+	} else if o.Attempt > 0 && o.Result != Cancelled && o.Result != Missed {
+		d.retrySuccess -= smoothing * d.retrySuccess
 	}
 	switch o.Result {
 	case Returned:
-		d.learn(r, f, o)
-		d.judge(&w.health, true)
-		d.judge(side, true)
-		if f.sent > w.Start {
-			pl.warm = d.now + d.told.keep
+		d.learn(r, a, o)
+		d.recordResult(&w.health, true)
+		d.recordResult(side, true)
+		if a.sentAt > w.Start {
+			rep.warmUntil = d.now + d.keepAlive
 		}
-		d.settled(pl)
-		d.release(pl, true)
-		d.end(r)
+		d.loadSettled(rep)
+		d.releaseHeld(rep, true)
+		d.finish(r)
 		return
 	case Missed:
-		pl.warm = math.Inf(-1)
-		if r.want != wantDone && !o.Final && o.Found != LoadFailed && d.order(pl) {
-			if d.hold(r, pl); d.spent(r) {
+		rep.warmUntil = math.Inf(-1)
+		if r.state != stateDone && !o.Final && o.Found != LoadFailed && d.orderLoad(rep) {
+			if d.hold(r, rep); d.exhausted(r) {
 				d.giveUp(r)
 			}
 			return
 		}
 	case Full:
-		h := d.blame(w, r.side, f.sent-blameSpan)
-		f.full, h.fulls = d.sparse, h.fulls+1
-		until := d.now + math.Min(crowdPause*math.Exp2(h.fulls-1), crowdMost)
-		if f.load && m.homes == 1 { // no room for the copy, or too many loads: warm copies may still do well
-			w.noLoad = until
+		h := d.failureScope(w, r.class, a.sentAt-failureScopeSpan)
+		a.rejected, h.fullCount = d.sparseTraffic, h.fullCount+1
+		until := d.now + math.Min(fullBackoff*math.Exp2(h.fullCount-1), fullBackoffMax)
+		if a.loading && m.preferred == 1 { // no room for the copy, or too many loads: warm copies may still do well
+			w.noLoadUntil = until
 		} else {
-			h.crowd = until
+			h.fullUntil = until
 		}
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if o.Found == LoadFailed {
-			pl.warm = math.Inf(-1)
-		} else if o.Result != TimedOut || d.now < r.notAfter-d.margin() {
-			d.judge(d.blame(w, r.side, f.sent-blameSpan), false)
+			rep.warmUntil = math.Inf(-1)
+		} else if o.Result != TimedOut || d.now < r.notAfter-d.answerMargin() {
+			d.recordResult(d.failureScope(w, r.class, a.sentAt-failureScopeSpan), false)
 		}
 	}
-	d.settled(pl)
-	d.release(pl, false)
-	if o.Final || r.want == wantDone {
-		d.end(r)
-	} else if r.out == 0 && r.want != wantHold {
-		d.again(r)
+	d.loadSettled(rep)
+	d.releaseHeld(rep, false)
+	if o.Final || r.state == stateDone {
+		d.finish(r)
+	} else if r.pending == 0 && r.state != stateHeld {
+		d.retry(r)
 	}
 }
 
+// Probed takes the report that answers a probe; requests held for it are placed.
 func (d *Dispatcher) Probed(o ProbeResult) {
-	if w := d.known[o.Worker]; w != nil && o.Result == Returned {
-		d.report(w, o.Report, 1)
+	if w := d.workersByID[o.Worker]; w != nil && o.Result == Returned {
+		d.takeReport(w, o.Report, 1)
 	}
-	d.changed = true
-	d.look()
+	d.heardNews = true
+	d.sweep()
 }
--- a/control/placement.go
+++ b/control/placement.go
@@ -2,117 +2,119 @@
 
 import "math"
 
-// find places an inference: into an open group, into a new one, or it is held until there is a worker.
-func (d *Dispatcher) find(r *inference) {
-	if pl := d.join(r); pl != nil {
-		if pl.count++; pl.cold {
-			d.hold(r, pl)
+// place finds a replica for a request: in an open group, in a new one, or it is held until there is a worker.
+func (d *Dispatcher) place(r *request) {
+	if rep := d.joinOpenGroup(r); rep != nil {
+		if rep.joined++; rep.loading {
+			d.hold(r, rep)
 		} else {
-			d.send(r, pl)
+			d.dispatch(r, rep)
 		}
 		return
 	}
-	switch pl := d.least(r, false); {
-	case pl == nil && r.out == 0 && (r.hopeless || r.barred && r.n > 0):
+	switch rep := d.leastLoaded(r, false); {
+	case rep == nil && r.pending == 0 && (r.tooLate || r.barred && r.attempted > 0):
 		d.giveUp(r)
-	case pl == nil || d.probe(r):
+	case rep == nil || d.probeCandidates(r):
 		d.hold(r, nil)
 	default:
-		pl.group, pl.open, pl.count = pl.group+1, 0, 1
-		if pl.warm < d.now && !pl.cold {
-			pl.cold, pl.since, pl.load = true, d.now, r.model.load
-			pl.worker.loads += pl.load
+		rep.groupSeq, rep.members, rep.joined = rep.groupSeq+1, 0, 1
+		if rep.warmUntil < d.now && !rep.loading {
+			rep.loading, rep.startedAt, rep.loadCost = true, d.now, r.model.loadTime
+			rep.worker.pendingLoads += rep.loadCost
 		}
-		d.send(r, pl)
+		d.dispatch(r, rep)
 	}
 }
 
-// join returns the place with an open group that this inference may join: under the limit, and own
+// joinOpenGroup returns the replica with an open group that this request may join: under the limit, and own
 // requests there take less than a load would; of several, where they take least.
-func (d *Dispatcher) join(r *inference) *place {
-	var best *place
-	for _, pl := range r.model.groups() {
-		if pl.count >= groupLimit {
+func (d *Dispatcher) joinOpenGroup(r *request) *replica {
+	var best *replica
+	for _, rep := range r.model.openGroups() {
+		if rep.joined >= groupLimit {
 			continue
 		}
-		w := pl.worker
-		wait := d.queue(w) + float64(pl.waiting)*r.model.run
-		if r.tried(w) || wait >= r.model.load || !d.may(r, w) || !d.open(r, w) || !d.room(r, w) ||
-			d.now+wait/slots+math.Min(r.model.run, r.slo)/2 > r.notAfter {
+		w := rep.worker
+		wait := d.queuedWork(w) + float64(rep.held)*r.model.runTime
+		if r.tried(w) || wait >= r.model.loadTime || !d.allowed(r, w) || !d.admits(r, w) || !d.hasCapacity(r, w) ||
+			d.now+wait/workerSlots+math.Min(r.model.runTime, r.slo)/2 > r.notAfter {
 			continue
 		}
-		if best == nil || w.work < best.worker.work {
-			best = pl
+		if best == nil || w.queued < best.worker.queued {
+			best = rep
 		}
 	}
 	return best
 }
 
-// room tells whether the worker is under its width.
-func (d *Dispatcher) room(r *inference, w *worker) bool { return float64(w.out-w.cold) < d.width(r) }
+// hasCapacity tells whether the worker is under its concurrency limit.
+func (d *Dispatcher) hasCapacity(r *request, w *worker) bool {
+	return float64(w.pending-w.pendingCold) < d.concurrencyLimit(r)
+}
 
-// width is how many own forwards a worker may have out. Inferences that can no longer be in time, or are
-// beyond their tenant's share, leave part of it to the others.
-func (d *Dispatcher) width(r *inference) float64 {
-	limit := max(widthLeast, widthAll/d.told.dispatchers)
-	if r.over || r.repeat || d.now+r.model.run > r.taken+r.slo {
+// concurrencyLimit is how many own attempts a worker may have out. Requests that can no longer be in time, or
+// are beyond their tenant's share, leave part of it to the others.
+func (d *Dispatcher) concurrencyLimit(r *request) float64 {
+	limit := max(concurrencyMin, concurrencyFleet/d.dispatchers)
+	if r.overQuota || r.clientRetry || d.now+r.model.runTime > r.arrivedAt+r.slo {
 		limit *= staleShare
 	}
 	return limit
 }
 
-// least returns the place with least queued work, load included where no warm copy is believed. Costs too
-// near to tell apart are ties; they go by a hash of model and worker that all dispatchers share: so they
+// leastLoaded returns the replica with least queued work, load included where no warm copy is believed. Costs
+// too near to tell apart are ties; they go by a hash of model and worker that all dispatchers share: so they
 // agree unasked on where a model lives, and return to where a copy or an image may still be.
-func (d *Dispatcher) least(r *inference, warmOnly bool) *place {
+func (d *Dispatcher) leastLoaded(r *request, warmOnly bool) *replica {
 	m, low, resting := r.model, math.Inf(1), false
-	d.top, r.hopeless, r.barred = d.top[:0], false, true
-	aim, timely := r.taken+r.slo, false
+	d.candidates, r.tooLate, r.barred = d.candidates[:0], false, true
+	aim, timely := r.arrivedAt+r.slo, false
 	until := r.notAfter
-	if d.timely > math.Max(r.taken+giveWay*r.slo, d.now-r.slo) {
+	if d.youngestTimely > math.Max(r.arrivedAt+preemptAge*r.slo, d.now-r.slo) {
 		until = math.Min(until, aim) // a younger one that is held could be in time: late answers feed an overload
 	}
 	choice := 0.0
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
-		if !d.may(r, w) {
+		if !d.allowed(r, w) {
 			continue
 		}
 		r.barred = false
-		queue := d.queue(w)
-		end := d.now + queue/slots + min(m.run, r.slo)/2
+		queue := d.queuedWork(w)
+		end := d.now + queue/workerSlots + min(m.runTime, r.slo)/2
 		timely = timely || end <= aim
 		late := end > until // the wait outlasts the client
-		if open := d.open(r, w); !open || late {
-			resting, r.hopeless = resting || !open, r.hopeless || late
+		if open := d.admits(r, w); !open || late {
+			resting, r.tooLate = resting || !open, r.tooLate || late
 			continue
 		}
 		choice++
-		w.cost = (queue + m.run) / d.warmth(w)
+		w.cost = (queue + m.runTime) / d.capacityShare(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
-		w.cost += max(w.bad, w.sides[r.side].bad) * (m.load + r.slo)
+		w.cost += max(w.failureShare, w.classes[r.class].failureShare) * (m.loadTime + r.slo)
 		if r.tried(w) {
-			w.cost += aheadOff
+			w.cost += triedPenalty
 		}
-		w.rank = mix(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID))
-		d.top = append(d.top, w)
+		w.rank = hash(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID))
+		d.candidates = append(d.candidates, w)
 	}
-	d.choice = math.Min(1, math.Max(choice, 1)/math.Max(1, float64(d.ready)))
-	if d.sparse {
-		d.top = first(d.top, max(m.homes, probeHomes))
+	d.admittingShare = math.Min(1, math.Max(choice, 1)/math.Max(1, float64(d.readyWorkers)))
+	if d.sparseTraffic {
+		d.candidates = topRanked(d.candidates, max(m.preferred, probeCount))
 	}
-	if d.looks++; m.homes > 1 {
-		for _, w := range d.top[:min(len(d.top), m.homes)] {
-			w.home = d.looks
+	if d.placements++; m.preferred > 1 {
+		for _, w := range d.candidates[:min(len(d.candidates), m.preferred)] {
+			w.preferredAt = d.placements
 		}
 	}
 	for _, w := range d.workers {
 		if w.cost <= math.MaxFloat64 {
-			pl := m.seen(w)
-			if w.hot = pl.warm >= d.now || w.home == d.looks; !w.hot {
+			rep := m.peek(w)
+			if w.warm = rep.warmUntil >= d.now || w.preferredAt == d.placements; !w.warm {
 				// Loads run beside the work of warm copies: those pending hold up only another load.
-				w.cost += m.load
-				if warmOnly || d.now+w.loads/loadsBeside > r.notAfter {
+				w.cost += m.loadTime
+				if warmOnly || d.now+w.pendingLoads/parallelLoads > r.notAfter {
 					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
 				}
 			}
@@ -120,74 +122,75 @@
 		}
 	}
 	var best *worker
-	top, band, width := uint64(0), low+tieBand*m.load, d.width(r)
+	top, band, width := uint64(0), low+tieBand*m.loadTime, d.concurrencyLimit(r)
 	for _, w := range d.workers {
 		if w.cost > band || w.cost > math.MaxFloat64 {
 			continue
 		}
 		h := w.rank >> 2
-		if w.hot {
-			if d.sparse { // by cost, ties by chance: fellows see the same reports
-				h = uint64(1e18 / (1 + w.cost + tieWarm*m.run*d.rnd.share()))
+		if w.warm {
+			if d.sparseTraffic { // by cost, ties by chance: peers see the same reports
+				h = uint64(1e18 / (1 + w.cost + tieWarm*m.runTime*d.rnd.float()))
 			}
 			h |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
 		}
-		if float64(w.out-w.cold) < width {
+		if float64(w.pending-w.pendingCold) < width {
 			h |= 1 << 62
 		}
 		if best == nil || h > top {
 			best, top = w, h
 		}
 	}
-	r.hopeless = r.hopeless && best == nil && !resting
-	// A home that turned a load away is waited for: left for another, its models are loaded twice, push others
+	r.tooLate = r.tooLate && best == nil && !resting
+	// A worker that turned a load away is waited for: left for another, its models are loaded twice, push others
 	// out, and the fleet has more to load than before. It harms where a worker has no room for long.
-	if best == nil || !d.room(r, best) ||
-		r.n == 0 && !best.hot && (m.seen(best).noRoom > d.now || best.noLoad > d.now) {
+	if best == nil || !d.hasCapacity(r, best) ||
+		r.attempted == 0 && !best.warm && (m.peek(best).noRoomUntil > d.now || best.noLoadUntil > d.now) {
 		if timely {
-			d.timely = math.Max(d.timely, r.taken)
+			d.youngestTimely = math.Max(d.youngestTimely, r.arrivedAt)
 		}
 		return nil
 	}
-	return m.at(best)
+	return m.replica(best)
 }
 
-// send wants a forward to a place and books it in the ledger.
-func (d *Dispatcher) send(r *inference, pl *place) {
-	w, m := pl.worker, r.model
-	f := &r.forwards[r.n]
-	*f = forward{to: w, sent: d.now, run: m.run, group: pl.group, expect: w.work + m.run}
-	if pl.warm < d.now {
-		f.load, f.expect = true, f.expect+m.load+w.loads
-		w.cold++
+// dispatch wants an attempt at a replica and books it in the ledger.
+func (d *Dispatcher) dispatch(r *request, rep *replica) {
+	w, m := rep.worker, r.model
+	a := &r.attempts[r.attempted]
+	*a = attempt{worker: w, sentAt: d.now, runTime: m.runTime, groupSeq: rep.groupSeq}
+	a.expected = w.queued + m.runTime
+	if rep.warmUntil < d.now {
+		a.loading, a.expected = true, a.expected+m.loadTime+w.pendingLoads
+		w.pendingCold++
 	}
-	r.n, r.out, r.want = r.n+1, r.out+1, wantForward
-	d.touch(r)
-	d.queue(w)
-	w.work, w.out = w.work+f.run, w.out+1
-	pl.open, pl.out = pl.open+1, pl.out+1
-	m.joined(pl)
-	d.spend(r, w)
+	r.attempted, r.pending, r.state = r.attempted+1, r.pending+1, stateAttempt
+	d.markChanged(r)
+	d.queuedWork(w)
+	w.queued, w.pending = w.queued+a.runTime, w.pending+1
+	rep.members, rep.pending = rep.members+1, rep.pending+1
+	m.markOpen(rep)
+	d.chargeAdmission(r, w)
 }
 
-// release lets those held for a place go: to it where a copy stands there, else anew.
-func (d *Dispatcher) release(pl *place, stands bool) {
-	for i := 0; i < len(d.hand.all) && pl.waiting > 0; i++ {
-		r := d.hand.all[i]
-		if !r.live || r.waits != pl || r.want != wantHold {
+// releaseHeld lets those held for a replica go: to it where a copy stands there, else anew.
+func (d *Dispatcher) releaseHeld(rep *replica, stands bool) {
+	for i := 0; i < len(d.inFlight.slots) && rep.held > 0; i++ {
+		r := d.inFlight.slots[i]
+		if !r.live || r.heldFor != rep || r.state != stateHeld {
 			continue
 		}
 		r.unhold()
-		to, missed := pl, !stands && r.n > 0
+		to, missed := rep, !stands && r.attempted > 0
 		if missed { // to a warm worker, or back to the client
-			to = d.least(r, true)
+			to = d.leastLoaded(r, true)
 		}
 		if to == nil {
 			d.giveUp(r)
-		} else if w := to.worker; (stands || missed) && d.may(r, w) && d.open(r, w) && d.room(r, w) {
-			d.send(r, to)
+		} else if w := to.worker; (stands || missed) && d.allowed(r, w) && d.admits(r, w) && d.hasCapacity(r, w) {
+			d.dispatch(r, to)
 		} else {
-			d.find(r)
+			d.place(r)
 		}
 	}
 }
--- a/control/rand.go
+++ b/control/rand.go
@@ -13,11 +13,11 @@
 	return r.x
 }
 
-// share returns a number from 0 up to 1.
-func (r *random) share() float64 { return float64(r.next()) / (1 << 32) }
+// float returns a number from 0 up to 1.
+func (r *random) float() float64 { return float64(r.next()) / (1 << 32) }
 
-// mix spreads a number over all bits (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
+// hash spreads a number over all bits (the finalizer of SplitMix64).
+func hash(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -4,52 +4,53 @@
 
 // Settle emits the difference between the wanted state and what is out.
 func (d *Dispatcher) Settle() {
-	if d.now >= d.askAt {
-		d.askAt = math.Inf(1)
-		d.act.Subscribe(true)
+	if d.now >= d.subscribeAt {
+		d.subscribeAt = math.Inf(1)
+		d.actions.Subscribe(true)
 	}
-	for _, err := range d.wrong {
-		d.act.Log(err.Error() + "; the default is used")
+	for _, err := range d.settingErrors {
+		d.actions.Log(err.Error() + "; the default is used")
 	}
-	d.wrong = nil
-	for _, pl := range d.orders {
-		pl.wanted = false
-		if pl.worker.State == Ready {
-			pl.ordered, pl.since = true, d.now
-			d.act.Order(pl.worker.ID, pl.model.id, 1)
+	d.settingErrors = nil
+	for _, rep := range d.wantedOrders {
+		rep.orderWanted = false
+		if rep.worker.State == Ready {
+			rep.orderPending, rep.startedAt = true, d.now
+			d.actions.Order(rep.worker.ID, rep.model.id, 1)
 		}
 	}
-	for _, w := range d.probes {
-		d.act.Probe(w.ID)
+	for _, w := range d.wantedProbes {
+		d.actions.Probe(w.ID)
 	}
-	for _, r := range d.dirty {
+	for _, r := range d.changedRequests {
 		r.dirty = false
-		switch r.want {
-		case wantForward:
-			d.act.Forward(r.id, r.forwards[r.n-1].to.ID, 0)
-			r.want = wantOut
-		case wantShed:
-			d.act.Shed(r.id, math.Min(r.model.load, d.told.retryMost))
-			r.want = wantDone
-		case wantFail:
-			d.act.Fail(r.id)
-			r.want = wantDone
+		switch r.state {
+		case stateAttempt:
+			d.actions.Attempt(r.id, r.attempts[r.attempted-1].worker.ID, 0)
+			r.state = statePending
+		case stateShed:
+			d.actions.Shed(r.id, math.Min(r.model.loadTime, d.retryAfterMax))
+			r.state = stateDone
+		case stateFail:
+			d.actions.Fail(r.id)
+			r.state = stateDone
 		}
-		if r.want != wantDone {
+		if r.state != stateDone {
 			continue
 		}
-		for i := range r.forwards[:r.n] {
-			if f := &r.forwards[i]; f.fate == fateOut && d.told.cancel && !r.stream {
-				d.act.Cancel(r.id, i)
+		for i := range r.attempts[:r.attempted] {
+			if a := &r.attempts[i]; a.state == attemptPending && d.cancel && !r.streaming {
+				d.actions.Cancel(r.id, i)
 			}
 		}
-		if r.out == 0 && r.live {
-			d.hand.drop(r)
+		if r.pending == 0 && r.live {
+			d.inFlight.remove(r)
 		}
 	}
-	d.orders, d.probes, d.dirty = d.orders[:0], d.probes[:0], d.dirty[:0]
-	if !d.waked && (len(d.hand.byID) > 0 || !math.IsInf(d.askAt, 1)) {
-		d.waked = true
-		d.act.Wake(scan, 0)
+	d.wantedOrders, d.wantedProbes = d.wantedOrders[:0], d.wantedProbes[:0]
+	d.changedRequests = d.changedRequests[:0]
+	if !d.timerSet && (len(d.inFlight.byID) > 0 || !math.IsInf(d.subscribeAt, 1)) {
+		d.timerSet = true
+		d.actions.Wake(sweepInterval, 0)
 	}
 }
--- a/control/retry.go
+++ b/control/retry.go
@@ -5,74 +5,80 @@
 	"slices"
 )
 
-// may tells whether the rules let this inference go to this worker now (rules 1 to 3 and the count of
-// forwards).
-func (d *Dispatcher) may(r *inference, w *worker) bool {
-	if w.State != Ready || d.now >= r.notAfter-d.margin() || r.stream ||
-		r.n >= d.told.most || r.out > 0 && !d.told.second {
+// allowed tells whether the rules let a request go to a worker now (rules 1 to 3, and the count of attempts).
+func (d *Dispatcher) allowed(r *request, w *worker) bool {
+	if w.State != Ready || d.now >= r.notAfter-d.answerMargin() || r.streaming ||
+		r.attempted >= d.maxAttempts || r.pending > 0 && !d.hedging {
 		return false
 	}
-	f, scope := r.mayHaveRun(), r.group.scope // the earliest one binds; the later ones kept to its scope
-	return f == nil || r.group.effect == "retriable" || d.repeatable(r, f) && (scope == "all" ||
-		f.to.Zone == w.Zone && (scope == "zone" || scope == "cell" && f.to.Cell == w.Cell))
+	a, scope := r.mayHaveRun(), r.group.scope // the earliest one binds; the later ones kept to its scope
+	return a == nil || r.group.effect == "retriable" || d.withinDedupWindow(r, a) && (scope == "all" ||
+		a.worker.Zone == w.Zone && (scope == "zone" || scope == "cell" && a.worker.Cell == w.Cell))
 }
 
-// repeatable tells whether a repeat of a forward that may have run is still dropped within its scope.
-func (d *Dispatcher) repeatable(r *inference, f *forward) bool {
-	return r.group.effect == "deduped" && d.now <= f.sent+r.group.window-d.margin()
+// withinDedupWindow tells whether a repeat of an attempt that may have run is still dropped within its scope.
+func (d *Dispatcher) withinDedupWindow(r *request, a *attempt) bool {
+	return r.group.effect == "deduped" && d.now <= a.sentAt+r.group.window-d.answerMargin()
 }
 
-// again makes a further forward where the model group, the rules and the success of recent ones allow.
-func (d *Dispatcher) again(r *inference) {
-	if d.further >= 1 && slices.ContainsFunc(d.workers, func(w *worker) bool { return d.may(r, w) }) {
-		d.further--
-		d.find(r)
-	} else if r.out == 0 {
+// retry makes another attempt where the model group, the rules and the success of recent ones allow.
+func (d *Dispatcher) retry(r *request) {
+	if d.retryTokens >= 1 && slices.ContainsFunc(d.workers, func(w *worker) bool { return d.allowed(r, w) }) {
+		d.retryTokens--
+		d.place(r)
+	} else if r.pending == 0 {
 		d.giveUp(r)
 	}
 }
 
-// look goes over all in hand: time-outs, late forwards, and those held for a worker to have room.
-func (d *Dispatcher) look() {
-	retry := d.changed || d.now > d.retried+lookLong
+// sweep goes over all in flight: time-outs, late attempts, and those held for a worker to have room.
+func (d *Dispatcher) sweep() {
+	retry := d.heardNews || d.now > d.heldRetriedAt+heldRetryInterval
 	if retry {
-		d.changed, d.retried = false, d.now
+		d.heardNews, d.heldRetriedAt = false, d.now
 	}
-	for _, r := range d.hand.all {
-		if !r.live || r.want != wantHold && r.want != wantOut {
+	for _, r := range d.inFlight.slots {
+		if !r.live || r.state != stateHeld && r.state != statePending {
 			continue
 		}
-		if !r.stream && (d.now >= r.notAfter-d.margin() || r.want == wantHold && d.spent(r)) {
+		if !r.streaming && (d.now >= r.notAfter-d.answerMargin() || r.state == stateHeld && d.exhausted(r)) {
 			d.giveUp(r)
 			continue
 		}
-		if r.want == wantHold {
-			if pl := r.waits; pl == nil && retry || pl != nil && (pl.worker.State != Ready || pl.worker.aside ||
-				!pl.ordered && !pl.wanted && d.now >= pl.since+patience*r.model.load) {
+		if r.state == stateHeld {
+			if rep := r.heldFor; rep == nil && retry || rep != nil && d.inVain(rep) {
 				r.unhold()
-				d.find(r)
+				d.place(r)
 			}
 			continue
 		}
-		for i := 0; i < r.n && r.want == wantOut && !r.stream; i++ {
-			if f := &r.forwards[i]; f.fate == fateOut && !f.hedged {
-				d.late(r, f)
+		for i := 0; i < r.attempted && r.state == statePending && !r.streaming; i++ {
+			if a := &r.attempts[i]; a.state == attemptPending && !a.hedged {
+				d.hedgeIfLate(r, a)
 			}
 		}
 	}
 }
 
-// late answers silence: a worker that answered none like it since a forward far past its expected time, or is
-// gone or new, has failed it, and a second copy goes out where allowed; else the inference is just heavy.
-func (d *Dispatcher) late(r *inference, f *forward) {
-	lost := f.to.State == Gone || f.sent <= f.to.Start
-	if !lost && (f.to.sides[r.side].at > f.sent || d.now-f.sent < math.Max(patience*f.expect, r.slo/2)) {
+// inVain tells whether the first answer or the load that requests are held for at a replica is no longer to
+// be counted on: its worker is not ready or ejected, or it is far late and no order is out.
+func (d *Dispatcher) inVain(rep *replica) bool {
+	late := d.now >= rep.startedAt+hedgeDelay*rep.model.loadTime
+	return rep.worker.State != Ready || rep.worker.ejected || late && !rep.orderPending && !rep.orderWanted
+}
+
+// hedgeIfLate answers silence: a worker that answered none like it since an attempt far past its time, or is
+// gone or new, has failed it, and a hedge goes out where allowed; else the request is just heavy.
+func (d *Dispatcher) hedgeIfLate(r *request, a *attempt) {
+	lost := a.worker.State == Gone || a.sentAt <= a.worker.Start
+	heard := a.worker.classes[r.class].answeredAt > a.sentAt
+	if !lost && (heard || d.now-a.sentAt < math.Max(hedgeDelay*a.expected, r.slo/2)) {
 		return
 	}
-	if f.hedged = true; !lost {
-		d.judge(d.blame(f.to, r.side, f.sent), false)
+	if a.hedged = true; !lost {
+		d.recordResult(d.failureScope(a.worker, r.class, a.sentAt), false)
 	}
-	if d.told.second {
-		d.again(r)
+	if d.hedging {
+		d.retry(r)
 	}
 }
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -16,7 +16,7 @@
 //	set NAME VALUE                     a setting, before the first event
 //	workers [full] A[,zone=N,cell=N,start=T,state=ready|draining|gone] ...
 //	take N model=M [group=G] [until=T] [load=S] [work=S] [lanes=N] [tenant=N]   N may be a span: 1-20
-//	end N.F RESULT [warm|began|waited|failed]      forward F of inference N ends
+//	end N.F RESULT [warm|began|waited|failed]      attempt F of request N ends
 //	ordered A M RESULT COPIES          a load order is answered
 //	leave N | asked-failed             the client leaves | a call to discovery failed
 //	wait S                             time passes, timers fire
@@ -42,19 +42,19 @@
 
 func name(w WorkerID) string { return string(rune(w)) }
 
-func (p *player) Forward(i InferenceID, w WorkerID, _ Seconds) { p.say("forward %d %s", i, name(w)) }
-func (p *player) Shed(i InferenceID, back Seconds)             { p.say("shed %d %.1f", i, back) }
-func (p *player) Fail(i InferenceID)                           { p.say("fail %d", i) }
-func (p *player) Cancel(i InferenceID, f int)                  { p.say("cancel %d.%d", i, f) }
-func (p *player) Order(w WorkerID, m ModelID, n int)           { p.say("order %s %d %d", name(w), m, n) }
-func (p *player) Unload(w WorkerID, m ModelID)                 { p.say("unload %s %d", name(w), m) }
-func (p *player) Probe(w WorkerID)                             { p.say("probe %s", name(w)) }
-func (p *player) CloseIdle(w WorkerID)                         { p.say("close %s", name(w)) }
-func (p *player) Tell(PeerID, []byte)                          { p.say("tell") }
-func (p *player) Subscribe(on bool)                            { p.say("subscribe %v", on) }
-func (p *player) FetchList()                                   { p.say("fetch") }
-func (p *player) Wake(after Seconds, _ TimerID)                { p.wakes = append(p.wakes, p.now+after) }
-func (p *player) Log(string)                                   {}
+func (p *player) Attempt(i RequestID, w WorkerID, _ Seconds) { p.say("attempt %d %s", i, name(w)) }
+func (p *player) Shed(i RequestID, back Seconds)             { p.say("shed %d %.1f", i, back) }
+func (p *player) Fail(i RequestID)                           { p.say("fail %d", i) }
+func (p *player) Cancel(i RequestID, f int)                  { p.say("cancel %d.%d", i, f) }
+func (p *player) Order(w WorkerID, m ModelID, n int)         { p.say("order %s %d %d", name(w), m, n) }
+func (p *player) Unload(w WorkerID, m ModelID)               { p.say("unload %s %d", name(w), m) }
+func (p *player) Probe(w WorkerID)                           { p.say("probe %s", name(w)) }
+func (p *player) CloseIdle(w WorkerID)                       { p.say("close %s", name(w)) }
+func (p *player) Tell(PeerID, []byte)                        { p.say("tell") }
+func (p *player) Subscribe(on bool)                          { p.say("subscribe %v", on) }
+func (p *player) FetchList()                                 { p.say("fetch") }
+func (p *player) Wake(after Seconds, _ TimerID)              { p.wakes = append(p.wakes, p.now+after) }
+func (p *player) Log(string)                                 {}
 
 // event plays one event at the present time.
 func (p *player) event(f func()) {
@@ -116,10 +116,10 @@
 			last = first
 		}
 		for i := num(first, 0); i <= num(last, 0); i++ {
-			q := Inference{ID: InferenceID(i), Model: ModelID(num(o["model"], 1)), Group: GroupID(num(o["group"], 0)),
+			q := Request{ID: RequestID(i), Model: ModelID(num(o["model"], 1)), Group: GroupID(num(o["group"], 0)),
 				Tenant: TenantID(num(o["tenant"], 0)), Lanes: num(o["lanes"], 4), Work: num(o["work"], 0),
 				Load: num(o["load"], 0), NotAfter: num(o["until"], p.now+5), Repeat: o["repeat"] != ""}
-			p.event(func() { p.d.Inference(q) })
+			p.event(func() { p.d.Request(q) })
 		}
 	case "end":
 		i, f, _ := strings.Cut(w[1], ".")
@@ -128,7 +128,7 @@
 			found = w[3]
 		}
 		p.event(func() {
-			p.d.Outcome(Outcome{ID: InferenceID(num(i, 0)), Forward: int(num(f, 0)), Took: 0.1, Result: results[w[2]],
+			p.d.Outcome(Outcome{ID: RequestID(num(i, 0)), Attempt: int(num(f, 0)), Took: 0.1, Result: results[w[2]],
 				Found: founds[found], Final: w[2] == "returned"})
 		})
 	case "ordered":
@@ -141,7 +141,7 @@
 				Took: 1, Copies: int(num(w[4], 0))})
 		})
 	case "leave":
-		p.event(func() { p.d.Withdrawn(InferenceID(num(w[1], 0))) })
+		p.event(func() { p.d.Withdrawn(RequestID(num(w[1], 0))) })
 	case "asked-failed":
 		p.event(func() { p.d.Workers(ListFailed, 0, nil) })
 	case "wait":
@@ -231,12 +231,12 @@
 // non-retriable model group.
 const usual = `set groups 3; set groups.0.effect retriable; set groups.0.slo 1; set groups.1.effect deduped
 set groups.1.scope cell; set groups.1.window 2; set groups.1.slo 1; set groups.2.effect non-retriable
-set groups.2.slo 1; set limits.max_forwards 6; set limits.second_copies true; set limits.cancel true
+set groups.2.slo 1; set limits.max_attempts 6; set limits.hedging true; set limits.cancel true
 set limits.retry_after true; set limits.max_retry_after 0.5; set models.orders true
 set models.on_miss load; set models.keep 8; set rules.warm_after 10; set rules.cold_share 0.2
 set rules.overload_factor 2; set rules.fall 1; set tick 0.002`
 
-// TestOrdinaryPathAllocatesNothing takes and answers inferences on a warm worker.
+// TestOrdinaryPathAllocatesNothing takes and answers requests on a warm worker.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	p := &player{t: t, set: Settings{}}
 	for _, line := range strings.FieldsFunc(usual, func(c rune) bool { return c == ';' || c == '\n' }) {
@@ -245,12 +245,12 @@
 	d := New(7, p.set, quiet{})
 	list := []WorkerInfo{{ID: 1, State: Ready, Start: math.Inf(-1)}, {ID: 2, State: Ready, Start: math.Inf(-1)}}
 	d.Workers(ListComplete, 0, list)
-	id, now := InferenceID(0), 0.0
+	id, now := RequestID(0), 0.0
 	round := func() {
 		now += 0.01
 		id++
 		d.At(now)
-		d.Inference(Inference{ID: id, Model: 3, Lanes: 4, NotAfter: now + 5})
+		d.Request(Request{ID: id, Model: 3, Lanes: 4, NotAfter: now + 5})
 		d.Settle()
 		d.Outcome(Outcome{ID: id, Took: 0.01, Found: FoundWarm, Final: true})
 		d.Timer(0)
@@ -267,5 +267,5 @@
 // quiet takes the actions of the ordinary path and does nothing.
 type quiet struct{ Actions }
 
-func (quiet) Forward(InferenceID, WorkerID, Seconds) {}
-func (quiet) Wake(Seconds, TimerID)                  {}
+func (quiet) Attempt(RequestID, WorkerID, Seconds) {}
+func (quiet) Wake(Seconds, TimerID)                {}
--- a/control/settings_test.go
+++ b/control/settings_test.go
@@ -17,9 +17,9 @@
 	return p
 }
 
-func (p *player) forwards() (n int) {
+func (p *player) attempts() (n int) {
 	for _, a := range p.acts {
-		if strings.HasPrefix(a, "forward ") {
+		if strings.HasPrefix(a, "attempt ") {
 			n++
 		}
 	}
@@ -31,7 +31,7 @@
 	for name, v := range map[string]any{
 		"tick": -1.0, "rules.fall": -1.0, "rules.ask_every": math.NaN(), "rules.cold_share": 1.5, "rules.warm_after": -3.0,
 		"rules.overload_factor": -2.0, "models.keep": "long", "models.load_window": math.NaN(), "models.load_share": -0.1,
-		"dispatchers": -2.0, "limits.max_forwards": 0.5, "limits.second_copies": 1.0, "limits.max_retry_after": math.Inf(-1),
+		"dispatchers": -2.0, "limits.max_attempts": 0.5, "limits.hedging": 1.0, "limits.max_retry_after": math.Inf(-1),
 		"prices.probe": -1.0, "groups": 1e9, "tenants": 1e12, "load_report.fields": 1e300,
 		"groups.0.slo": -0.2, "groups.0.timeout": -1.0,
 		"groups.0.slo_stretch": math.NaN(),
@@ -42,8 +42,8 @@
 			t.Errorf("%s = %v: %v", name, v, err)
 		}
 		d := New(1, s, quiet{})
-		if len(d.wrong) != 1 || len(d.told.groups) != 1 || len(d.tenants) != 0 {
-			t.Errorf("%s = %v: %d faults, %d groups, %d tenants", name, v, len(d.wrong), len(d.told.groups), len(d.tenants))
+		if len(d.settingErrors) != 1 || len(d.groups) != 1 || len(d.tenants) != 0 {
+			t.Errorf("%s = %v: %d faults, %d groups, %d tenants", name, v, len(d.settingErrors), len(d.groups), len(d.tenants))
 		}
 	}
 	if err := Check(Settings{"groups": 1.0, "a.new.setting": "word"}); err != nil {
@@ -52,7 +52,7 @@
 	if err := Check(Settings{}); err != nil {
 		t.Errorf("no settings: %v", err)
 	}
-	for _, name := range []string{"rules.fall", "rules.ask_every", "rules.overload_factor", "dispatchers", "limits.max_forwards", "groups.0.slo", "groups.0.timeout"} {
+	for _, name := range []string{"rules.fall", "rules.ask_every", "rules.overload_factor", "dispatchers", "limits.max_attempts", "groups.0.slo", "groups.0.timeout"} {
 		if err := Check(Settings{"groups": 1.0, name: 0.0}); err != nil {
 			t.Errorf("zero is how the wire says that nothing is told: %v", err)
 		}
@@ -70,13 +70,13 @@
 		d := New(1, s, log)
 		d.Settle()
 		d.Settle()
-		if len(log.lines) != 1 || !strings.Contains(log.lines[0], name) || d.told.groups[0].effect != "non-retriable" {
-			t.Errorf("%s = %v: %q, %s", name, v, log.lines, d.told.groups[0].effect)
+		if len(log.lines) != 1 || !strings.Contains(log.lines[0], name) || d.groups[0].effect != "non-retriable" {
+			t.Errorf("%s = %v: %q, %s", name, v, log.lines, d.groups[0].effect)
 		}
 	}
 }
 
-// TestColdWorkerUnderOddSettings sends forty inferences to a worker that started a moment ago: where the figures of the
+// TestColdWorkerUnderOddSettings sends forty requests to a worker that started a moment ago: where the figures of the
 // rule are missing or can't be used, it gets no more than under the usual ones.
 func TestColdWorkerUnderOddSettings(t *testing.T) {
 	for name, change := range map[string]func(Settings){
@@ -91,23 +91,23 @@
 		p.play("workers A,start=4.5")
 		p.play("take 1-40 model=1 until=50")
 		p.play("wait 0.05")
-		if n := p.forwards(); n > 2 {
-			t.Errorf("%s: %d forwards to a cold worker at once", name, n)
+		if n := p.attempts(); n > 2 {
+			t.Errorf("%s: %d attempts at a cold worker at once", name, n)
 		}
 	}
 }
 
-// TestValuesThatAreNoNumbers hands in figures that are no numbers: the inference is answered all the same, and a report
+// TestValuesThatAreNoNumbers hands in figures that are no numbers: the request is answered all the same, and a report
 // with one changes nothing.
 func TestValuesThatAreNoNumbers(t *testing.T) {
-	for _, q := range []Inference{{NotAfter: math.NaN()}, {NotAfter: math.Inf(1)}, {NotAfter: 3, Load: math.Inf(1)},
+	for _, q := range []Request{{NotAfter: math.NaN()}, {NotAfter: math.Inf(1)}, {NotAfter: 3, Load: math.Inf(1)},
 		{NotAfter: 3, Load: math.NaN(), Work: math.NaN()}, {NotAfter: math.Inf(-1)}} {
 		p := usualPlayer(t, func(s Settings) { s["groups.0.timeout"] = 2.0 })
 		p.play("workers A")
 		q.ID = 1
-		p.event(func() { p.d.Inference(q) })
+		p.event(func() { p.d.Request(q) })
 		p.play("wait 2.1")
-		if n := p.forwards(); n > 1 || len(p.acts) < 1 || !strings.HasPrefix(p.acts[n], "shed 1") {
+		if n := p.attempts(); n > 1 || len(p.acts) < 1 || !strings.HasPrefix(p.acts[n], "shed 1") {
 			t.Errorf("%+v: %q", q, p.acts)
 		}
 	}
@@ -121,8 +121,8 @@
 		p.d.Probed(ProbeResult{Worker: 'A', Report: []float64{-4}})
 		p.d.Probed(ProbeResult{Worker: 'A', Report: nil})
 	})
-	if w := p.d.known['A']; w.held != 0 || w.heldAt != math.Inf(-1) {
-		t.Errorf("held %g, as of %g", w.held, w.heldAt)
+	if w := p.d.workersByID['A']; w.reported != 0 || w.reportedAt != math.Inf(-1) {
+		t.Errorf("held %g, as of %g", w.reported, w.reportedAt)
 	}
 }
 
@@ -131,8 +131,8 @@
 	p := usualPlayer(t, func(s Settings) { s["tenants"] = 4000.0 })
 	p.play("workers A B")
 	p.play("take 1-5 model=1 tenant=3999")
-	if w := p.d.known['A']; len(w.sides) != len(p.d.told.groups) || p.forwards() == 0 {
-		t.Errorf("%d records, %d forwards", len(w.sides), p.forwards())
+	if w := p.d.workersByID['A']; len(w.classes) != len(p.d.groups) || p.attempts() == 0 {
+		t.Errorf("%d records, %d attempts", len(w.classes), p.attempts())
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -6,241 +6,241 @@
 	"slices"
 )
 
-// maxForwards is how many forwards one record can hold.
-const maxForwards = 8
+// maxAttempts is how many attempts one record can hold.
+const maxAttempts = 8
 
-type fate uint8
+type attemptState uint8
 
 const (
-	fateOut   fate = iota // sent, no outcome yet
-	fateNever             // known not to have run
-	fateMay               // over, and may have run
+	attemptPending    attemptState = iota // sent, no outcome yet
+	attemptNeverRan                       // known not to have run
+	attemptMayHaveRun                     // over, and may have run
 )
 
-// forward is one sending of an inference to a worker.
-type forward struct {
-	to     *worker
-	sent   Seconds
-	expect Seconds // answer time expected when sent
-	run    Seconds // what the ledger counts for it
-	group  uint32  // which open group of the place it joined
-	fate   fate
-	full   bool // it was turned away
-	hedged bool // a second copy was tried for it
-	load   bool // it carries a load not yet seen to stand
+// attempt is one sending of a request to a worker.
+type attempt struct {
+	worker   *worker
+	sentAt   Seconds
+	expected Seconds // answer time expected when sent
+	runTime  Seconds // what the ledger counts for it
+	groupSeq uint32  // which open group of the replica it joined
+	state    attemptState
+	rejected bool // it was turned away
+	hedged   bool // a hedge was tried for it
+	loading  bool // it carries a load not yet seen to stand
 }
 
-type want uint8
+type requestState uint8
 
 const (
-	wantNew     want = iota
-	wantHold         // wait here
-	wantForward      // send to the worker in to
-	wantShed
-	wantFail
-	wantOut  // nothing more: a forward is out
-	wantDone // its final answer is given
+	stateNew     requestState = iota
+	stateHeld                 // wait here
+	stateAttempt              // send to the worker in to
+	stateShed
+	stateFail
+	statePending // nothing more: an attempt is out
+	stateDone    // its final answer is given
 )
 
-// inference is one in hand: its record lives in the slab until its final answer is given and no forward is
+// request is one in flight: its record lives in the table until its final answer is given and no attempt is
 // out.
-type inference struct {
-	id       InferenceID
-	model    *model
-	group    *modelGroup
-	taken    Seconds
-	notAfter Seconds
-	work     Seconds
-	slo      Seconds // in which its answer earns its whole value
-	want     want
-	waits    *place // the place whose first answer or order it is held for
-	forwards [maxForwards]forward
-	n        int // forwards made
-	out      int // forwards without an outcome
-	side     int // its model group and tenant among a worker's sides
-	place    int // own place in the slab
-	live     bool
-	dirty    bool
-	stream   bool
-	hopeless bool // no worker would answer before its client leaves
-	barred   bool // the rules let it go to no worker that is listed now
-	probed   bool // workers were asked what they hold before it went out
-	repeat   bool // the client asked before, so the SLO time is hardly to be kept
-	over     bool // beyond its tenant's share
-}
-
-// slab holds the inferences in hand in places that are used again.
-type slab struct {
-	all  []*inference
-	free []int
-	byID map[InferenceID]int
-}
-
-func (s *slab) take(id InferenceID) *inference {
+type request struct {
+	id          RequestID
+	model       *model
+	group       *modelGroup
+	arrivedAt   Seconds
+	notAfter    Seconds
+	workHint    Seconds
+	slo         Seconds // in which its answer earns its whole value
+	state       requestState
+	heldFor     *replica // the replica whose first answer or order it is held for
+	attempts    [maxAttempts]attempt
+	attempted   int // attempts made
+	pending     int // attempts without an outcome
+	class       int // its model group and tenant among a worker's sides
+	slot        int // own place in the table
+	live        bool
+	dirty       bool
+	streaming   bool
+	tooLate     bool // no worker would answer before its client leaves
+	barred      bool // the rules let it go to no worker that is listed now
+	probed      bool // workers were asked what they hold before it went out
+	clientRetry bool // the client asked before, so the SLO time is hardly to be kept
+	overQuota   bool // beyond its tenant's share
+}
+
+// requestTable holds the requests in flight in places that are used again.
+type requestTable struct {
+	slots []*request
+	free  []int
+	byID  map[RequestID]int
+}
+
+func (s *requestTable) acquire(id RequestID) *request {
 	if len(s.free) == 0 {
-		s.all = append(s.all, new(inference))
-		s.free = append(s.free, len(s.all)-1)
+		s.slots = append(s.slots, new(request))
+		s.free = append(s.free, len(s.slots)-1)
 	}
 	i := s.free[len(s.free)-1]
 	s.free = s.free[:len(s.free)-1]
-	*s.all[i] = inference{id: id, place: i, live: true}
+	*s.slots[i] = request{id: id, slot: i, live: true}
 	s.byID[id] = i
-	return s.all[i]
+	return s.slots[i]
 }
 
-func (s *slab) find(id InferenceID) *inference {
+func (s *requestTable) lookup(id RequestID) *request {
 	if i, ok := s.byID[id]; ok {
-		return s.all[i]
+		return s.slots[i]
 	}
 	return nil
 }
 
-func (s *slab) drop(r *inference) {
+func (s *requestTable) remove(r *request) {
 	r.live = false
 	delete(s.byID, r.id)
-	s.free = append(s.free, r.place)
+	s.free = append(s.free, r.slot)
 }
 
-// place is what this dispatcher knows of one model on one worker: its open group and its belief in a warm
+// replica is what this dispatcher knows of one model on one worker: its open group and its belief in a warm
 // copy.
-type place struct {
-	worker  *worker
-	model   *model
-	warm    Seconds // believed warm until then
-	group   uint32  // number of the newest group
-	open    int     // its members without an answer
-	count   int     // its members ever
-	waiting int     // members held here for its first answer or for an order
-	out     int     // all own forwards of the model there
-	cold    bool    // the group's first answer is still out
-	ordered bool    // a load order is out
-	wanted  bool    // a load order is wanted
-	listed  bool    // it stands among its model's open ones
-	since   Seconds // when the order went out, or the cold group opened
-	load    Seconds // what the ledger counts for its cold group
-	noRoom  Seconds // no copy can be had there until then
+type replica struct {
+	worker       *worker
+	model        *model
+	warmUntil    Seconds // believed warm until then
+	groupSeq     uint32  // number of the newest group
+	members      int     // its members without an answer
+	joined       int     // its members ever
+	held         int     // members held here for its first answer or for an order
+	pending      int     // all own attempts of the model there
+	loading      bool    // the group's first answer is still out
+	orderPending bool    // a load order is out
+	orderWanted  bool    // a load order is wanted
+	listed       bool    // it stands among its model's open ones
+	startedAt    Seconds // when the order went out, or the cold group opened
+	loadCost     Seconds // what the ledger counts for its cold group
+	noRoomUntil  Seconds // no copy can be had there until then
 }
 
 // health is what failures and answers told of one scope: a worker, or one tenant and model group there.
 type health struct {
-	bad   float64 // smoothed share of forwards that failed for the scope's own reasons
-	aside bool
-	rate  float64 // forwards a second let through while set aside
-	next  Seconds // no forward before then while set aside
-	crowd Seconds // turned work away; no new group until then
-	fulls float64 // times it turned work away since it last answered
-	at    Seconds // last answer
-	ok    bool    // which was a good one
+	failureShare  float64 // smoothed share of attempts that failed for the scope's own reasons
+	ejected       bool
+	rampRate      float64 // attempts a second let through while ejected
+	nextAttemptAt Seconds // no attempt before then while ejected
+	fullUntil     Seconds // turned work away; no new group until then
+	fullCount     float64 // times it turned work away since it last answered
+	answeredAt    Seconds // last answer
+	answeredWell  bool    // which was a good one
 }
 
 // worker is one worker as this dispatcher knows it.
 type worker struct {
 	WorkerInfo
 	health
-	sides  []health // by model group and tenant
-	index  int      // in the models' lists of places
-	goneAt Seconds  // since when it is listed as gone, +Inf where it is not
-	work   Seconds  // run time of own forwards there
-	mean   Seconds  // work, smoothed over time
-	meanAt Seconds
-	loads  Seconds // load times of own cold groups there
-	out    int
-	coldAt Seconds // cold budget: the next forward fits then
-	cold   int     // own forwards out that wait for a load
-	noLoad Seconds // it turned a load away; none until then
-	cost   Seconds // what the inference in hand would wait there
-	rank   uint64  // its place in the order of homes of the model in hand
-	hot    bool    // a copy of the model in hand is taken to stand there
-	home   uint64  // the look for a place at which it was one of the homes
-	held   float64 // inferences it reported to hold, smoothed
-	heldAt Seconds
-}
-
-// model is one model: its estimates and its places, by worker index.
+	classes      []health // by model group and tenant
+	index        int      // in the models' lists of places
+	goneAt       Seconds  // since when it is listed as gone, +Inf where it is not
+	queued       Seconds  // run time of own attempts there
+	meanQueued   Seconds  // work, smoothed over time
+	meanQueuedAt Seconds
+	pendingLoads Seconds // load times of own cold groups there
+	pending      int
+	coldNextAt   Seconds // cold budget: the next attempt fits then
+	pendingCold  int     // own attempts out that wait for a load
+	noLoadUntil  Seconds // it turned a load away; none until then
+	cost         Seconds // what the request at hand would wait there
+	rank         uint64  // its place in the order of preferred workers of the model at hand
+	warm         bool    // a copy of the model at hand is taken to stand there
+	preferredAt  uint64  // the placement at which it was one of the preferred workers
+	reported     float64 // requests it reported to hold, smoothed
+	reportedAt   Seconds
+}
+
+// model is one model: its estimates and its replicas, by worker index.
 type model struct {
-	id     ModelID
-	group  *modelGroup
-	run    Seconds // smoothed warm answer time
-	load   Seconds // load time, told or learned
-	heard  bool    // load time learned from an answer
-	timed  bool    // run time learned from an answer
-	places []*place
-	open   []*place // those with members, in order of workers; some may have none by now
-	held   int      // inferences held here for a worker to have room
+	id           ModelID
+	group        *modelGroup
+	runTime      Seconds // smoothed warm answer time
+	loadTime     Seconds // load time, told or learned
+	loadKnown    bool    // load time learned from an answer
+	runKnown     bool    // run time learned from an answer
+	replicas     []*replica
+	openReplicas []*replica // those with members, in order of workers; some may have none by now
+	heldCount    int        // requests held here for a worker to have room
 
-	asked, askedAt float64 // inferences taken of late, and as of when
-	homes          int     // workers it should live on
+	recent, recentAt float64 // requests taken of late, and as of when
+	preferred        int     // workers it should live on
 }
 
 // modelGroup is a model group with its settings.
 type modelGroup struct {
-	effect  string
-	scope   string
-	slo     Seconds
-	timeout Seconds
-	window  Seconds
-	stretch float64 // the SLO time is longer by so much of an inference's work
-	run     Seconds // smoothed warm answer time of its models
-	work    Seconds // smoothed mean work of an inference, for the cold budget
-	load    Seconds // smoothed load time of its models
-	timed   bool
+	effect     string
+	scope      string
+	slo        Seconds
+	timeout    Seconds
+	window     Seconds
+	sloStretch float64 // the SLO time is longer by so much of a request's work
+	runTime    Seconds // smoothed warm answer time of its models
+	meanWork   Seconds // smoothed mean work of a request, for the cold budget
+	loadTime   Seconds // smoothed load time of its models
+	runKnown   bool
 }
 
 // tenant counts one tenant's traffic against its share.
 type tenant struct {
-	quota float64 // inferences a second in its share, for this dispatcher
-	level float64 // token bucket
-	at    Seconds
+	quota     float64 // requests a second in its share, for this dispatcher
+	tokens    float64 // token bucket
+	updatedAt Seconds
 }
 
-// at returns the place of a model on a worker; it stays where it is, as inferences and orders point to it.
-func (m *model) at(w *worker) *place {
-	for len(m.places) <= w.index {
-		m.places = append(m.places, nil)
+// replica returns the replica record of a model on a worker; it stays where it is, as requests and orders point to it.
+func (m *model) replica(w *worker) *replica {
+	for len(m.replicas) <= w.index {
+		m.replicas = append(m.replicas, nil)
 	}
-	if m.places[w.index] == nil {
-		m.places[w.index] = &place{worker: w, model: m, warm: math.Inf(-1)}
+	if m.replicas[w.index] == nil {
+		m.replicas[w.index] = &replica{worker: w, model: m, warmUntil: math.Inf(-1)}
 	}
-	return m.places[w.index]
+	return m.replicas[w.index]
 }
 
-// nowhere stands for a place of which nothing is known.
-var nowhere = place{warm: math.Inf(-1)}
+// unknownReplica stands for one of which nothing is known.
+var unknownReplica = replica{warmUntil: math.Inf(-1)}
 
-// seen returns the place of a model on a worker, to be read only: nowhere if there is none.
-func (m *model) seen(w *worker) *place {
-	if w.index < len(m.places) && m.places[w.index] != nil {
-		return m.places[w.index]
+// peek returns that record to be read only: unknownReplica if there is none.
+func (m *model) peek(w *worker) *replica {
+	if w.index < len(m.replicas) && m.replicas[w.index] != nil {
+		return m.replicas[w.index]
 	}
-	return &nowhere
+	return &unknownReplica
 }
 
-// joined notes that a place has members.
-func (m *model) joined(pl *place) {
-	if !pl.listed {
-		pl.listed = true
-		i, _ := slices.BinarySearchFunc(m.open, pl, func(a, b *place) int { return cmp.Compare(a.worker.index, b.worker.index) })
-		m.open = slices.Insert(m.open, i, pl)
+// markOpen notes that a replica has members.
+func (m *model) markOpen(rep *replica) {
+	if !rep.listed {
+		rep.listed = true
+		i, _ := slices.BinarySearchFunc(m.openReplicas, rep, func(a, b *replica) int { return cmp.Compare(a.worker.index, b.worker.index) })
+		m.openReplicas = slices.Insert(m.openReplicas, i, rep)
 	}
 }
 
-// groups returns the places with members, in order of workers: few, however many workers there are.
-func (m *model) groups() []*place {
+// openGroups returns the replicas with members, in order of workers: few, however many workers there are.
+func (m *model) openGroups() []*replica {
 	n := 0
-	for _, pl := range m.open {
-		if pl.listed = pl.open+pl.waiting > 0; pl.listed {
-			m.open[n] = pl
+	for _, rep := range m.openReplicas {
+		if rep.listed = rep.members+rep.held > 0; rep.listed {
+			m.openReplicas[n] = rep
 			n++
 		}
 	}
-	clear(m.open[n:])
-	m.open = m.open[:n]
-	return m.open
+	clear(m.openReplicas[n:])
+	m.openReplicas = m.openReplicas[:n]
+	return m.openReplicas
 }
 
-// first returns the n workers of highest rank, and maybe some more, first in order first. Ranks are hashes: of many,
+// topRanked returns the n workers of highest rank, and maybe some more, first in order first. Ranks are hashes: of many,
 // only those above where about twice as many are to be expected are put in order.
-func first(list []*worker, n int) []*worker {
+func topRanked(list []*worker, n int) []*worker {
 	if much := 2*n + 16; len(list) > 2*much {
 		above := ^uint64(0) / uint64(len(list)) * uint64(len(list)-much)
 		k := 0
@@ -258,110 +258,102 @@
 	return list
 }
 
-// tried tells whether a forward of this inference went to the worker and did not just miss there.
-func (r *inference) tried(w *worker) bool {
-	for i := range r.forwards[:r.n] {
-		if f := &r.forwards[i]; f.to == w && (f.fate != fateNever || f.full) {
+// tried tells whether an attempt of this request went to the worker and did not just miss there.
+func (r *request) tried(w *worker) bool {
+	for i := range r.attempts[:r.attempted] {
+		if f := &r.attempts[i]; f.worker == w && (f.state != attemptNeverRan || f.rejected) {
 			return true
 		}
 	}
 	return false
 }
 
-func (d *Dispatcher) touch(r *inference) {
+func (d *Dispatcher) markChanged(r *request) {
 	if !r.dirty {
 		r.dirty = true
-		d.dirty = append(d.dirty, r)
+		d.changedRequests = append(d.changedRequests, r)
 	}
 }
 
-// unbook takes a forward out of the ledger.
-func (d *Dispatcher) unbook(r *inference, f *forward, pl *place) {
-	r.out--
-	f.to.out--
-	if f.load {
-		f.to.cold--
+// settleAttempt takes an attempt out of the ledger.
+func (d *Dispatcher) settleAttempt(r *request, f *attempt, rep *replica) {
+	r.pending--
+	f.worker.pending--
+	if f.loading {
+		f.worker.pendingCold--
 	}
-	pl.out--
-	f.to.work = math.Max(0, f.to.work-f.run)
-	if pl.out == 0 && f.to.out == 0 {
-		f.to.work = 0
+	rep.pending--
+	f.worker.queued = math.Max(0, f.worker.queued-f.runTime)
+	if rep.pending == 0 && f.worker.pending == 0 {
+		f.worker.queued = 0
 	}
-	if f.group == pl.group && pl.open > 0 {
-		pl.open--
+	if f.groupSeq == rep.groupSeq && rep.members > 0 {
+		rep.members--
 	}
 }
 
-// unhold takes an inference off the counts of those held.
-func (r *inference) unhold() {
-	if r.want != wantHold {
+// unhold takes a request off the counts of those held.
+func (r *request) unhold() {
+	if r.state != stateHeld {
 		return
 	}
-	if r.waits != nil {
-		r.waits.waiting--
-		r.waits = nil
+	if r.heldFor != nil {
+		r.heldFor.held--
+		r.heldFor = nil
 	} else if r.model != nil {
-		r.model.held--
+		r.model.heldCount--
 	}
-	r.want = wantOut
-}
-
-// settings is what they say.
-type settings struct {
-	tick, askEvery, fall, warmAfter, keep, window, retryMost Seconds
-	coldShare, overload, few, share, dispatchers             float64
-	most, homes                                              int // forwards of one inference; homes asked for a report
-	second, cancel, probes, orders, asked                    bool
-	counts                                                   []int // which values of a report tell inferences held
-	groups                                                   []*modelGroup
-	quotas                                                   []float64 // of tenants, inferences a second
+	r.state = statePending
 }
 
 // Dispatcher is the state of one dispatcher.
 type Dispatcher struct {
-	told       settings
-	wrong      []error // settings that can't be used, until they are logged
-	sidesEach  int     // tenants told apart at a worker, for each model group
-	act        Actions
-	rnd        random
-	now        Seconds
-	workers    []*worker
-	modelsNext int   // no look for models to forget before there are so many
-	indexes    int   // given to workers so far
-	free       []int // of those, the ones whose worker is forgotten
-	known      map[WorkerID]*worker
-	models     map[ModelID]*model
-	tenants    []*tenant
-	hand       slab
-	dirty      []*inference
-	orders     []*place // wanted load orders
-	waked      bool
-	sparse     bool      // own traffic is too thin for own ledgers to tell of the workers
-	changed    bool      // something was heard since those held for room were tried
-	timely     Seconds   // when the youngest was taken that was held for room and could have been in time
-	retried    Seconds   // when they were
-	top        []*worker // homes of the model in hand, first in order first
-	looks      uint64    // looks for a place so far
-	probes     []*worker // wanted probes
-
-	easedFrom, easedTo, eased float64 // how far means are eased from one time to another
-	choice                    float64 // share of the workers that the last inference looked at could go to
-
-	rate, rateAt, rateOf float64 // inferences taken a second, as of when and for which count
-
-	run            Seconds // smoothed warm answer time of all
-	asked, askedAt float64 // inferences taken of late, and as of when
-
-	further, furtherOK float64 // further forwards in hand, and the share of recent ones that succeeded
-	ready, aside       int
-	askAt, askGap      Seconds // when discovery is asked next, and the gap after a failure
-	ration             ration
+	settings
+	probesMax       int     // preferred workers probed for one request
+	loadOrders      bool    // a miss is answered by a load order
+	inFlightFields  []int   // which values of a report tell requests held
+	settingErrors   []error // settings that can't be used, until they are logged
+	tenantClasses   int     // tenants told apart at a worker, for each model group
+	actions         Actions
+	rnd             random
+	now             Seconds
+	workers         []*worker
+	forgetModelsAt  int   // no look for models to forget before there are so many
+	nextIndex       int   // given to workers so far
+	freeIndexes     []int // of those, the ones whose worker is forgotten
+	workersByID     map[WorkerID]*worker
+	models          map[ModelID]*model
+	tenants         []*tenant
+	inFlight        requestTable
+	changedRequests []*request
+	wantedOrders    []*replica // wanted load orders
+	timerSet        bool
+	sparseTraffic   bool      // own traffic is too thin for own ledgers to tell of the workers
+	heardNews       bool      // something was heard since those held for room were tried
+	youngestTimely  Seconds   // when the youngest was taken that was held for room and could have been in time
+	heldRetriedAt   Seconds   // when they were
+	candidates      []*worker // preferred workers of the model at hand, first in order first
+	placements      uint64    // looks for a place so far
+	wantedProbes    []*worker // wanted probes
+
+	meanFrom, meanTo, meanWeight float64 // how far means are eased from one time to another
+	admittingShare               float64 // share of the workers that the last request looked at could go to
+
+	rateValue, rateAt, rateOf float64 // requests taken a second, as of when and for which count
+
+	runTime          Seconds // smoothed warm answer time of all
+	recent, recentAt float64 // requests taken of late, and as of when
+
+	retryTokens, retrySuccess     float64 // retries that may be made, and the share of recent ones that succeeded
+	readyWorkers, ejectedWorkers  int
+	subscribeAt, subscribeBackoff Seconds // when discovery is asked next, and the gap after a failure
+	loadRation                    ration
 }
 
 // rationParts is how many parts the window of load orders is counted in; a part is counted whole.
 const rationParts = 16
 
-// ration counts load orders sent and inferences taken over a sliding window.
+// ration counts load orders sent and requests taken over a sliding window.
 type ration struct {
 	sent, taken [rationParts + 1]float64
 	part        int64
@@ -385,83 +377,83 @@
 	return sent, taken
 }
 
-// mayHaveRun returns the earliest forward that may have run or is still out, nil if there is none.
-func (r *inference) mayHaveRun() *forward {
-	for i := range r.forwards[:r.n] {
-		if r.forwards[i].fate != fateNever {
-			return &r.forwards[i]
+// mayHaveRun returns the earliest attempt that may have run or is still out, nil if there is none.
+func (r *request) mayHaveRun() *attempt {
+	for i := range r.attempts[:r.attempted] {
+		if r.attempts[i].state != attemptNeverRan {
+			return &r.attempts[i]
 		}
 	}
 	return nil
 }
 
-// ease blends a new value into a smoothed one; the first stands for itself.
-func ease(x *float64, seen *bool, v, weight float64) {
+// smooth blends a new value into a smoothed one; the first stands for itself.
+func smooth(x *float64, seen *bool, v, weight float64) {
 	if !*seen {
 		*x, *seen = v, true
 	}
 	*x += weight * (v - *x)
 }
 
-// settled notes that a place's cold group has its first answer.
-func (d *Dispatcher) settled(pl *place) {
-	if pl.cold {
-		pl.cold = false
-		pl.worker.loads = math.Max(0, pl.worker.loads-pl.load)
+// loadSettled notes that a replica's cold group has its first answer.
+func (d *Dispatcher) loadSettled(rep *replica) {
+	if rep.loading {
+		rep.loading = false
+		rep.worker.pendingLoads = math.Max(0, rep.worker.pendingLoads-rep.loadCost)
 	}
 }
 
-// hold keeps an inference here: for a place's first answer or order, or (nil) for a worker to have room.
-func (d *Dispatcher) hold(r *inference, pl *place) {
-	if r.out > 0 {
-		if r.want != wantForward { // a second copy wanted in the same batch still goes out
-			r.want = wantOut
+// hold keeps a request here: for a replica's first answer or order, or (nil) for a worker to have room.
+func (d *Dispatcher) hold(r *request, rep *replica) {
+	if r.pending > 0 {
+		if r.state != stateAttempt { // a hedge wanted in the same batch still goes out
+			r.state = statePending
 		}
 		return
 	}
-	r.want, r.waits = wantHold, pl
-	if pl != nil {
-		pl.waiting++
-		pl.model.joined(pl)
+	r.state, r.heldFor = stateHeld, rep
+	if rep != nil {
+		rep.held++
+		rep.model.markOpen(rep)
 	} else {
-		r.model.held++
+		r.model.heldCount++
 	}
 }
 
-// end notes that the final answer is given.
-func (d *Dispatcher) end(r *inference) {
+// finish notes that the final answer is given.
+func (d *Dispatcher) finish(r *request) {
 	r.unhold()
-	if r.want == wantForward { // never sent
-		r.n--
-		f := &r.forwards[r.n]
-		d.unbook(r, f, r.model.at(f.to))
+	if r.state == stateAttempt { // never sent
+		r.attempted--
+		f := &r.attempts[r.attempted]
+		d.settleAttempt(r, f, r.model.replica(f.worker))
 	}
-	r.want = wantDone
-	d.touch(r)
+	r.state = stateDone
+	d.markChanged(r)
 }
 
-// beyond counts one inference of the tenant and tells whether it is beyond its share.
-func (t *tenant) beyond(now Seconds) bool {
+// overQuota counts one request of the tenant and tells whether it is beyond its share.
+func (t *tenant) overQuota(now Seconds) bool {
 	if t.quota == never {
 		return false
 	}
 	depth := math.Max(1, t.quota) // of the token bucket: a share of under one a second would never hold a whole token
-	t.level = math.Min(depth, t.level+(now-t.at)*t.quota) - 1
-	t.at = now
-	over := t.level < 0
-	t.level = math.Max(0, t.level)
+	t.tokens = math.Min(depth, t.tokens+(now-t.updatedAt)*t.quota) - 1
+	t.updatedAt = now
+	over := t.tokens < 0
+	t.tokens = math.Max(0, t.tokens)
 	return over
 }
 
-// countReady counts the workers listed as ready, and those set aside.
-func (d *Dispatcher) countReady() {
-	d.ready, d.aside = 0, 0
+// countWorkers counts the workers listed as ready, and those ejected.
+func (d *Dispatcher) countWorkers() {
+	d.readyWorkers, d.ejectedWorkers = 0, 0
 	for _, w := range d.workers {
 		if w.State == Ready {
-			d.ready++
+			d.readyWorkers++
 		}
-		if w.aside {
-			d.aside++
+		if w.ejected {
+			d.ejectedWorkers++
 		}
 	}
 }
@@ -471,37 +463,39 @@
 func (d *Dispatcher) At(now Seconds) { d.now = now }
 
 // Withdrawn takes note that the client left.
-func (d *Dispatcher) Withdrawn(id InferenceID) {
-	if r := d.hand.find(id); r != nil && r.want != wantDone {
-		d.end(r)
+func (d *Dispatcher) Withdrawn(id RequestID) {
+	if r := d.inFlight.lookup(id); r != nil && r.state != stateDone {
+		d.finish(r)
 	}
 }
 
-// Streaming takes note that the answer has begun: the forward is the client's now.
-func (d *Dispatcher) Streaming(id InferenceID, _ int, _ WorkerID, _ Seconds) {
-	if r := d.hand.find(id); r != nil {
-		r.stream = true
+// Streaming takes note that the answer has begun: the attempt is the client's now.
+func (d *Dispatcher) Streaming(id RequestID, _ int, _ WorkerID, _ Seconds) {
+	if r := d.inFlight.lookup(id); r != nil {
+		r.streaming = true
 	}
 }
 
-// Told takes a note of a fellow dispatcher; none is needed so far.
+// Told takes a note of a peer; none is needed so far.
 func (d *Dispatcher) Told(PeerID, []byte) {}
 
 func (d *Dispatcher) Timer(TimerID) {
-	d.waked = false
-	d.hand.shrink(slabLeast)
-	d.look()
+	d.timerSet = false
+	d.inFlight.shrink(tableMin)
+	d.sweep()
 }
 
-// taken is how many inferences a second this dispatcher takes, worked out once for each moment.
-func (d *Dispatcher) taken() float64 {
-	if d.rateAt != d.now || d.rateOf != d.asked {
-		span := homeSpan * (1 - math.Exp(-math.Max(1, d.now)/homeSpan))
-		d.rate = d.asked * math.Exp((d.askedAt-d.now)/homeSpan) / span
-		d.rateAt, d.rateOf = d.now, d.asked
+// requestRate is how many requests a second this dispatcher takes, worked out once for each moment.
+func (d *Dispatcher) requestRate() float64 {
+	if d.rateAt != d.now || d.rateOf != d.recent {
+		span := popularitySpan * (1 - math.Exp(-math.Max(1, d.now)/popularitySpan))
+		d.rateValue = d.recent * math.Exp((d.recentAt-d.now)/popularitySpan) / span
+		d.rateAt, d.rateOf = d.now, d.recent
 	}
-	return d.rate
+	return d.rateValue
 }
 
-// seen is how many of those come for each worker.
-func (d *Dispatcher) seen() float64 { return d.taken() / math.Max(1, float64(d.ready)) }
+// requestRatePerWorker is how many of those come for each worker.
+func (d *Dispatcher) requestRatePerWorker() float64 {
+	return d.requestRate() / math.Max(1, float64(d.readyWorkers))
+}
--- a/control/trace_test.go
+++ b/control/trace_test.go
@@ -21,8 +21,8 @@
 	now   Seconds
 	due   []due
 	lines []string
-	n     map[InferenceID]int
-	final map[InferenceID]bool
+	n     map[RequestID]int
+	final map[RequestID]bool
 }
 
 type due struct {
@@ -37,11 +37,11 @@
 
 func (w *drawn) after(s Seconds, f func()) { w.due = append(w.due, due{w.now + s, len(w.due), f}) }
 
-func (w *drawn) Forward(i InferenceID, to WorkerID, _ Seconds) {
-	w.say("forward %d %d", i, to)
+func (w *drawn) Attempt(i RequestID, to WorkerID, _ Seconds) {
+	w.say("attempt %d %d", i, to)
 	f := w.n[i]
 	w.n[i]++
-	o := Outcome{ID: i, Forward: f, Worker: to, Crowd: -1, Took: 0.02 + w.rnd.ExpFloat64()*0.08, Report: []float64{float64(w.rnd.IntN(9)), 1}}
+	o := Outcome{ID: i, Attempt: f, Worker: to, Crowd: -1, Took: 0.02 + w.rnd.ExpFloat64()*0.08, Report: []float64{float64(w.rnd.IntN(9)), 1}}
 	switch w.rnd.IntN(12) {
 	case 0:
 		o.Result = Full
@@ -66,9 +66,9 @@
 		w.d.Outcome(o)
 	})
 }
-func (w *drawn) Shed(i InferenceID, s Seconds) { w.say("shed %d %.4f", i, s); w.final[i] = true }
-func (w *drawn) Fail(i InferenceID)            { w.say("fail %d", i); w.final[i] = true }
-func (w *drawn) Cancel(i InferenceID, f int)   { w.say("cancel %d.%d", i, f) }
+func (w *drawn) Shed(i RequestID, s Seconds) { w.say("shed %d %.4f", i, s); w.final[i] = true }
+func (w *drawn) Fail(i RequestID)            { w.say("fail %d", i); w.final[i] = true }
+func (w *drawn) Cancel(i RequestID, f int)   { w.say("cancel %d.%d", i, f) }
 func (w *drawn) Order(to WorkerID, m ModelID, n int) {
 	w.say("order %d %d %d", to, m, n)
 	r := OrderResult{Worker: to, Model: m, Took: 0.2 + w.rnd.Float64(), Copies: 1}
@@ -93,11 +93,11 @@
 
 // world plays one seed and returns what the dispatcher did; settled, if any, is called after each event.
 func world(seed uint64, settled func(*drawn)) []string {
-	w := &drawn{rnd: rand.New(rand.NewPCG(seed, 5)), n: map[InferenceID]int{}, final: map[InferenceID]bool{}}
+	w := &drawn{rnd: rand.New(rand.NewPCG(seed, 5)), n: map[RequestID]int{}, final: map[RequestID]bool{}}
 	rnd := w.rnd
 	pick := func(s ...string) string { return s[rnd.IntN(len(s))] }
 	workers, fellows := 4+rnd.IntN(40), []float64{1, 2, 40}[rnd.IntN(3)]
-	s := Settings{"limits.max_forwards": float64(1 + rnd.IntN(6)), "limits.second_copies": rnd.IntN(3) > 0, "limits.cancel": rnd.IntN(4) > 0,
+	s := Settings{"limits.max_attempts": float64(1 + rnd.IntN(6)), "limits.hedging": rnd.IntN(3) > 0, "limits.cancel": rnd.IntN(4) > 0,
 		"limits.probes": rnd.IntN(2) == 0, "limits.retry_after": true, "limits.max_retry_after": 0.5, "models.keep": 1 + 8*rnd.Float64(), "models.on_miss": pick("miss", "load"),
 		"models.orders": rnd.IntN(4) > 0, "rules.warm_after": 5.0, "rules.cold_share": 0.2, "rules.fall": 1.0, "rules.overload_factor": 3.0,
 		"tick": 0.001, "dispatchers": fellows, "discovery": pick("push", "ask"), "groups": 3.0, "tenants": 2.0, "tenants.0.quota": 20.0 * fellows,
@@ -123,20 +123,20 @@
 		rate /= 20
 	}
 	models := 1 + rnd.IntN(3*workers)
-	id := InferenceID(0)
+	id := RequestID(0)
 	var arrive func()
 	arrive = func() {
 		id++
 		i := id
 		m := ModelID(float64(models) * math.Pow(rnd.Float64(), 2.5))
-		q := Inference{ID: i, Model: m, Group: GroupID(m % 3), Tenant: TenantID(rnd.IntN(3)), NotAfter: math.Inf(1), Repeat: rnd.IntN(9) == 0}
+		q := Request{ID: i, Model: m, Group: GroupID(m % 3), Tenant: TenantID(rnd.IntN(3)), NotAfter: math.Inf(1), Repeat: rnd.IntN(9) == 0}
 		if rnd.IntN(2) == 0 {
 			q.NotAfter = w.now + 0.02 + 2*rnd.Float64()
 		}
 		if rnd.IntN(3) == 0 {
 			q.Load, q.Work = rnd.Float64(), 0.1*rnd.Float64()
 		}
-		w.d.Inference(q)
+		w.d.Request(q)
 		if rnd.IntN(25) == 0 {
 			w.after(0.3*rnd.Float64(), func() {
 				if !w.final[i] {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -410,7 +410,7 @@
 		"models.on_miss": c.Loads.OnMiss, "models.orders": c.Loads.Orders, "models.keep": c.Loads.Keep.Seconds,
 		"models.order_timeout": c.Loads.Timeout.Seconds, "models.load_window": c.Loads.Window.Seconds,
 		"models.load_few": c.Loads.Few, "models.load_share": c.Loads.Share,
-		"limits.max_forwards": float64(c.Forwards.Most), "limits.second_copies": c.Forwards.SecondCopies,
+		"limits.max_attempts": float64(c.Forwards.Most), "limits.hedging": c.Forwards.SecondCopies,
 		"limits.cancel": c.Forwards.Cancel, "limits.probes": c.Forwards.Probes, "prices.probe": c.Forwards.ProbePrice,
 		"limits.retry_after": c.Forwards.MaxRetryAfter.Seconds > 0, "limits.max_retry_after": c.Forwards.MaxRetryAfter.Seconds,
 		"load_report.fields": float64(len(c.Report)), "groups": float64(len(c.Groups)), "tenants": float64(len(c.Tenants)),
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -80,7 +80,7 @@
 	s := c.Settings()
 	for name, want := range map[string]any{"groups": 2.0, "groups.1.effect": "deduped", "groups.1.scope": "zone", "groups.1.window": 4.0,
 		"groups.1.timeout": 60.0, "tenants": 2.0, "tenants.0.quota": 20.0, "rules.drain_grace": 0.5, "models.on_miss": "miss",
-		"models.load_window": 10.0, "models.load_few": 5.0, "models.keep": 3.0, "limits.max_forwards": 5.0, "limits.probes": true, "prices.probe": 0.02,
+		"models.load_window": 10.0, "models.load_few": 5.0, "models.keep": 3.0, "limits.max_attempts": 5.0, "limits.probes": true, "prices.probe": 0.02,
 		"load_report.fields.0": "inflight", "tick": 0.001, "discovery": "push"} {
 		if s[name] != want {
 			t.Errorf("%s is %v, want %v", name, s[name], want)
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -150,7 +150,7 @@
 	case wrote:
 		return control.Reset
 	case errors.Is(err, h1.ErrAbandoned):
-		return control.Moot
+		return control.NotSent
 	default:
 		return control.ConnectFailed
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -25,7 +25,7 @@
 	f.timer.Fire = func() { g.end(f, control.TimedOut) }
 	f.window.Fire = func() {
 		if f.W.link.Handed(f) == 0 {
-			g.end(f, control.Moot)
+			g.end(f, control.NotSent)
 		}
 	}
 	return f
@@ -44,7 +44,7 @@
 // The actions, as control.Actions names them.
 
 // Forward sends an inference to a worker.
-func (g *Gateway) Forward(id control.InferenceID, wid control.WorkerID, timeout control.Seconds) {
+func (g *Gateway) Attempt(id control.RequestID, wid control.WorkerID, timeout control.Seconds) {
 	q, w := g.find(id), g.workers[wid]
 	if q == nil || w == nil || q.n >= mostForwards {
 		g.Metrics.guard("unknown")
@@ -60,7 +60,7 @@
 	if q.final || w.State != control.Ready { // rules 1 and 3, whatever was decided
 		g.Metrics.guard("forward_barred")
 		f.barred = true
-		g.end(f, control.Moot)
+		g.end(f, control.NotSent)
 		return
 	}
 	if timeout > 0 {
@@ -87,7 +87,7 @@
 }
 
 // Shed answers that trying again is harmless.
-func (g *Gateway) Shed(id control.InferenceID, retryAfter control.Seconds) {
+func (g *Gateway) Shed(id control.RequestID, retryAfter control.Seconds) {
 	if q := g.find(id); q != nil && q.Client != nil {
 		if c := g.final(q, answerShed); c != nil {
 			c.Shed(q, retryAfter)
@@ -96,7 +96,7 @@
 }
 
 // Fail answers that it did not work out, and promises nothing.
-func (g *Gateway) Fail(id control.InferenceID) {
+func (g *Gateway) Fail(id control.RequestID) {
 	q := g.find(id)
 	if q == nil || q.Client == nil {
 		return
@@ -109,7 +109,7 @@
 }
 
 // Cancel gives a forward up.
-func (g *Gateway) Cancel(id control.InferenceID, n int) {
+func (g *Gateway) Cancel(id control.RequestID, n int) {
 	if q := g.find(id); q != nil && n < q.n {
 		g.end(q.forwards[n], control.Cancelled)
 	}
@@ -178,9 +178,9 @@
 	if f == nil || f.done {
 		return
 	}
-	if f.done = true; r == control.TimedOut || r == control.Cancelled || r == control.Moot {
+	if f.done = true; r == control.TimedOut || r == control.Cancelled || r == control.NotSent {
 		if f.barred || f.W.link.Handed(f) == 0 && r != control.TimedOut { // never handed to a connection that is up
-			r = control.Moot
+			r = control.NotSent
 		}
 		if !f.barred { // the link has never had it
 			f.W.link.Cancel(f)
@@ -192,7 +192,7 @@
 	f.result = r
 	f.W.out--
 	f.W.meter.ended(r)
-	o := control.Outcome{ID: q.id, Forward: f.N, Worker: f.W.ID, Took: now - f.made, Result: r, Found: f.Heard.Found,
+	o := control.Outcome{ID: q.id, Attempt: f.N, Worker: f.W.ID, Took: now - f.made, Result: r, Found: f.Heard.Found,
 		Crowd: f.Heard.Crowd, Report: f.Heard.Report[:f.Heard.Fields]}
 	if r == control.Returned && !q.final {
 		c := q.Client
@@ -278,7 +278,7 @@
 	g.Metrics.orders.Inc()
 	if w.State != control.Ready { // rule 3
 		g.Metrics.guard("order_barred")
-		g.Loop.Later(func() { o.finish(control.Moot) })
+		g.Loop.Later(func() { o.finish(control.NotSent) })
 		return
 	}
 	o.send(g.cfg.Loads.Timeout.Seconds)
@@ -305,7 +305,7 @@
 	}
 	o.done = true
 	g := o.g
-	if r == control.TimedOut || r == control.Moot {
+	if r == control.TimedOut || r == control.NotSent {
 		o.W.link.Drop(o)
 	}
 	g.Loop.Cancel(&o.timer)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,9 +205,9 @@
 	g.module.Settle()
 }
 
-func (g *Gateway) inference(in *control.Inference) {
+func (g *Gateway) inference(in *control.Request) {
 	defer g.caught()
-	g.module.Inference(*in)
+	g.module.Request(*in)
 }
 
 func (g *Gateway) outcome(o *control.Outcome) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -503,12 +503,12 @@
 type broke struct {
 	control.Module
 	act    control.Actions
-	id     control.InferenceID
+	id     control.RequestID
 	w      control.WorkerID
 	settle func(b *broke)
 }
 
-func (b *broke) Inference(q control.Inference) { b.id = q.ID }
+func (b *broke) Request(q control.Request) { b.id = q.ID }
 func (b *broke) Workers(_ control.ListKind, _ uint32, l []control.WorkerInfo) {
 	if len(l) > 0 {
 		b.w = l[0].ID
@@ -519,8 +519,8 @@
 		b.settle(b)
 	}
 }
-func (b *broke) Outcome(control.Outcome)       {}
-func (b *broke) Withdrawn(control.InferenceID) {}
+func (b *broke) Outcome(control.Outcome)     {}
+func (b *broke) Withdrawn(control.RequestID) {}
 
 func brokeStart(f func(b *broke)) Start {
 	return func(seed uint64, s control.Settings, a control.Actions) control.Module {
@@ -555,7 +555,7 @@
 	r := newRig(t, "", brokeStart(func(b *broke) {
 		b.act.Shed(b.id, 0.5)
 		b.act.Shed(b.id, 0.5)       // a second answer
-		b.act.Forward(b.id, b.w, 0) // and a forward after it
+		b.act.Attempt(b.id, b.w, 0) // and a forward after it
 		b.id = 0
 	}), w)
 	a := r.ask("read-1", "", "in")
--- a/internal/gateway/http_front.go
+++ b/internal/gateway/http_front.go
@@ -168,7 +168,7 @@
 		p.refuse(x, "stopping", 503, "the dispatcher is stopping or full") // since its head came in
 		return
 	}
-	in := control.Inference{Group: m.group.index, MemoryMB: m.Memory, Lanes: m.Lanes, Load: m.Load, NotAfter: math.Inf(1),
+	in := control.Request{Group: m.group.index, MemoryMB: m.Memory, Lanes: m.Lanes, Load: m.Load, NotAfter: math.Inf(1),
 		Repeat: http1.Is(x.Head.Get("mastchute-repeat"), "true"), Work: number(x.Head.Get("mastchute-work"))}
 	if v := x.Head.Get("mastchute-timeout"); v != nil {
 		in.NotAfter = g.Loop.Now() + number(v)
--- a/internal/gateway/taking.go
+++ b/internal/gateway/taking.go
@@ -25,7 +25,7 @@
 type Inference struct {
 	Client Client // nil once answered, or when the client has left
 
-	id       control.InferenceID
+	id       control.RequestID
 	seq      uint64
 	model    *Model
 	group    *group
@@ -48,7 +48,7 @@
 func (q *Inference) Final() bool       { return q.final }
 
 // ID names it towards the decisions.
-func (q *Inference) ID() control.InferenceID { return q.id }
+func (q *Inference) ID() control.RequestID { return q.id }
 
 // Tenant is the number of its tenant in the settings, -1 where none is told.
 func (q *Inference) Tenant() int { return q.tenant }
@@ -61,7 +61,7 @@
 
 // Take takes an inference: from here on its client is owed one final answer. in says what the client told and the model's
 // group; tenant is -1 where none is told.
-func (g *Gateway) Take(c Client, m *Model, tenant int, in control.Inference) *Inference {
+func (g *Gateway) Take(c Client, m *Model, tenant int, in control.Request) *Inference {
 	now := g.Loop.Now()
 	q := g.take()
 	q.Client, q.model, q.group, q.taken, q.tenant = c, m, g.groups[in.Group], now, tenant
@@ -109,13 +109,13 @@
 	g.seq++
 	timer, gen := q.timer, q.gen+1
 	*q = Inference{timer: timer, gen: gen, live: true, seq: g.seq}
-	q.id = control.InferenceID(uint32(i) | gen<<slotBits)
+	q.id = control.RequestID(uint32(i) | gen<<slotBits)
 	g.inHand++
 	return q
 }
 
 // find returns an inference in hand, nil when it has ended.
-func (g *Gateway) find(id control.InferenceID) *Inference {
+func (g *Gateway) find(id control.RequestID) *Inference {
 	if i := int(id & (1<<slotBits - 1)); i < len(g.slab) {
 		if q := g.slab[i]; q.live && q.id == id {
 			return q
--- a/internal/lab/simhost.go
+++ b/internal/lab/simhost.go
@@ -26,7 +26,7 @@
 	origin   float64
 	roster   *roster.Roster
 	seq      uint64
-	hand     map[control.InferenceID]*simInference
+	hand     map[control.RequestID]*simInference
 	order    []*simInference // as they came, for a kill
 	open     int
 	settling bool
@@ -74,7 +74,7 @@
 }
 
 type simInference struct {
-	id       control.InferenceID
+	id       control.RequestID
 	name     string
 	h        *simHost
 	model    *simModel
@@ -115,7 +115,7 @@
 func (h *simHost) up() {
 	s := h.s
 	h.life++
-	h.origin, h.roster, h.hand, h.order = s.now, roster.New(config.WorkerID), map[control.InferenceID]*simInference{}, nil
+	h.origin, h.roster, h.hand, h.order = s.now, roster.New(config.WorkerID), map[control.RequestID]*simInference{}, nil
 	h.wakes, h.open, h.settling, h.told = map[control.TimerID]int{}, 0, false, false
 	h.sentAt = make([]float64, len(s.spec.Workers))
 	for i := range h.sentAt {
@@ -278,19 +278,19 @@
 	}
 	h.seq++
 	span := math.Min(m.group.Timeout.Seconds, y.Timeout)
-	q := &simInference{id: control.InferenceID(h.seq), name: fmt.Sprintf("%s-%d-%d", h.name, h.life, h.seq), h: h, model: m, key: k.key,
+	q := &simInference{id: control.RequestID(h.seq), name: fmt.Sprintf("%s-%d-%d", h.name, h.life, h.seq), h: h, model: m, key: k.key,
 		tenant: k.tenant, notAfter: s.now + span, reply: answer}
 	h.hand[q.id] = q
 	h.order = append(h.order, q)
 	h.open++
-	in := control.Inference{ID: q.id, Model: m.id, Group: m.index, Tenant: math.MaxUint16, MemoryMB: m.info.Memory.MB(),
+	in := control.Request{ID: q.id, Model: m.id, Group: m.index, Tenant: math.MaxUint16, MemoryMB: m.info.Memory.MB(),
 		Lanes: m.info.Lanes, Load: m.info.Load.Seconds, NotAfter: s.now + y.Timeout - h.origin, Repeat: y.Number > 0}
 	if i := slices.IndexFunc(s.day.Settings.Tenants, func(t config.Tenant) bool { return t.Name == k.tenant }); i >= 0 {
 		in.Tenant = control.TenantID(i)
 	}
 	life := h.life
 	s.at(q.notAfter, func() { h.timeUp(q, life) })
-	h.event(func() { h.module.Inference(in) })
+	h.event(func() { h.module.Request(in) })
 	return q
 }
 
@@ -359,7 +359,7 @@
 	if t.result == control.Returned && !q.final {
 		h.finish(q, reply{status: 200, answer: "returned"})
 	}
-	o := control.Outcome{ID: q.id, Forward: f.n, Worker: config.WorkerID(s.spec.Workers[f.w].Name), Took: s.now - f.made,
+	o := control.Outcome{ID: q.id, Attempt: f.n, Worker: config.WorkerID(s.spec.Workers[f.w].Name), Took: s.now - f.made,
 		Result: t.result, Found: t.found, Crowd: t.crowd, Report: t.report}
 	life := h.life
 	s.after(0, func() {
@@ -374,7 +374,7 @@
 
 // The actions, as control.Actions names them.
 
-func (h *simHost) Forward(id control.InferenceID, wid control.WorkerID, timeout control.Seconds) {
+func (h *simHost) Attempt(id control.RequestID, wid control.WorkerID, timeout control.Seconds) {
 	s, q, w := h.s, h.hand[id], h.roster.Find(wid)
 	if q == nil || w == nil {
 		s.guards["unknown"]++
@@ -385,7 +385,7 @@
 	q.out++
 	if q.final || w.State != control.Ready {
 		s.guards["forward_barred"]++
-		h.ended(f, &told{result: control.Moot, crowd: -1})
+		h.ended(f, &told{result: control.NotSent, crowd: -1})
 		return
 	}
 	w.Sent()
@@ -409,19 +409,19 @@
 	s.send(f)
 }
 
-func (h *simHost) Shed(id control.InferenceID, retryAfter control.Seconds) {
+func (h *simHost) Shed(id control.RequestID, retryAfter control.Seconds) {
 	if q := h.hand[id]; q != nil {
 		h.finish(q, reply{status: 503, answer: "shed", retryAfter: retryAfter})
 	}
 }
 
-func (h *simHost) Fail(id control.InferenceID) {
+func (h *simHost) Fail(id control.RequestID) {
 	if q := h.hand[id]; q != nil {
 		h.finish(q, reply{status: 502, answer: "failed"})
 	}
 }
 
-func (h *simHost) Cancel(id control.InferenceID, n int) {
+func (h *simHost) Cancel(id control.RequestID, n int) {
 	if q := h.hand[id]; q != nil && n < len(q.forwards) {
 		h.ended(q.forwards[n], &told{result: control.Cancelled, crowd: -1})
 	}
@@ -452,7 +452,7 @@
 	}
 	if w.State != control.Ready {
 		s.guards["order_barred"]++
-		s.after(0, func() { tell(control.Moot, 0) })
+		s.after(0, func() { tell(control.NotSent, 0) })
 		return
 	}
 	f.end = func(t *told) {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -122,7 +122,7 @@
 	case "crashed", "red":
 		return control.Errored, true
 	case "nobody": // the inference was over already: it never ran
-		return control.Moot, true
+		return control.NotSent, true
 	}
 	return 0, false
 }
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -424,7 +424,7 @@
 	if !ok {
 		tenant = -1
 	}
-	k.q = p.g.Take(k, model, tenant, control.Inference{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
+	k.q = p.g.Take(k, model, tenant, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
 		Work: m.Work, Load: m.Load, NotAfter: p.l.Now() + m.Timeout, Repeat: m.Repeat})
 }
 
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -137,7 +137,7 @@
 		r := l.queue[i]
 		r.queued = false
 		if r.f != nil && !r.f.MayLeave() {
-			r.end(control.Moot)
+			r.end(control.NotSent)
 			continue
 		}
 		c.write(r)
@@ -200,7 +200,7 @@
 func (s *workers) makeRoom() bool {
 	for c := range s.conns {
 		if c.up && len(c.open) == 0 {
-			c.end(control.Moot)
+			c.end(control.NotSent)
 			return true
 		}
 	}
@@ -254,7 +254,7 @@
 	case len(c.open) > 0:
 		l.Cancel(&c.timer)
 	case c.l.closed:
-		c.end(control.Moot)
+		c.end(control.NotSent)
 	default:
 		l.Start(&c.timer, c.l.s.idle)
 		c.l.s.eased()
@@ -483,7 +483,7 @@
 func (l *link) CloseIdle() {
 	for i := len(l.conns) - 1; i >= 0; i-- {
 		if c := l.conns[i]; c.up && len(c.open) == 0 {
-			c.end(control.Moot)
+			c.end(control.NotSent)
 		}
 	}
 }
@@ -506,7 +506,7 @@
 		l.s.p.l.Later(func() {
 			if r.l == l && r.queued {
 				r.queued = false
-				r.end(control.Moot)
+				r.end(control.NotSent)
 			}
 		})
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -12,8 +12,8 @@
 // names turns the wire's setting names into ours; a name not listed keeps its own.
 var names = map[string]string{
 	"request_classes": "groups", "aim": "slo", "aim_stretch": "slo_stretch", "deadline": "timeout", "gain": "value", "group": "scope",
-	"peers_total": "dispatchers", "azs": "zones", "costs": "prices", "max_attempts": "max_forwards",
-	"parallel_tries": "second_copies", "probing": "probes", "when_absent": "on_miss", "may_order": "orders",
+	"peers_total": "dispatchers", "azs": "zones", "costs": "prices",
+	"parallel_tries": "hedging", "probing": "probes", "when_absent": "on_miss", "may_order": "orders",
 	"stays_loaded": "keep", "order_limit": "order_timeout", "marks_cold": "tells_warm",
 	"counts_alike": "tells_crowd", "load_period": "load_window", "load_floor": "load_few",
 	"late_worth": "late_value", "over_share_worth": "over_share_value", "quota_rps": "quota", "portion": "share",
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -200,7 +200,7 @@
 	case evShutdown:
 		delete(h.all, number)
 	case evWithdrawn:
-		id := control.InferenceID(rd.u32())
+		id := control.RequestID(rd.u32())
 		play(func(m control.Module) { m.Withdrawn(id) })
 	case evElapsed:
 		t := control.TimerID(rd.u32())
@@ -216,10 +216,10 @@
 		o := control.ProbeResult{Worker: rd.worker(), Result: rd.result(), Took: rd.micros(), Report: rd.gauge()}
 		play(func(m control.Module) { m.Probed(o) })
 	case evHeaders:
-		id, took, leg, w := control.InferenceID(rd.u32()), rd.micros(), int(rd.u16()), rd.worker()
+		id, took, leg, w := control.RequestID(rd.u32()), rd.micros(), int(rd.u16()), rd.worker()
 		play(func(m control.Module) { m.Streaming(id, leg, w, took) })
 	case evQuery:
-		q := control.Inference{ID: control.InferenceID(rd.u32()), MemoryMB: rd.f32()}
+		q := control.Request{ID: control.RequestID(rd.u32()), MemoryMB: rd.f32()}
 		q.Tenant = control.TenantID(rd.u16())
 		q.Model = control.ModelID(rd.u64())
 		work := rd.micros()
@@ -236,14 +236,14 @@
 		if end != 0 && d != nil {
 			q.NotAfter = d.span(end)
 		}
-		play(func(m control.Module) { m.Inference(q) })
+		play(func(m control.Module) { m.Request(q) })
 	case evPeerData:
 		from := control.PeerID(rd.u16())
 		note := rd.bytes(int(rd.u16()))
 		play(func(m control.Module) { m.Told(from, note) })
 	case evFinished:
-		o := control.Outcome{ID: control.InferenceID(rd.u32()), Took: rd.micros(), Worker: rd.worker()}
-		o.Forward = int(rd.u16())
+		o := control.Outcome{ID: control.RequestID(rd.u32()), Took: rd.micros(), Worker: rd.worker()}
+		o.Attempt = int(rd.u16())
 		note := rd.u8()
 		o.Final = rd.u8() != 0
 		o.Result = rd.result()
@@ -370,7 +370,7 @@
 	case 1:
 		return control.Cancelled
 	case 9:
-		return control.Moot
+		return control.NotSent
 	case 5:
 		return control.Missed
 	default:
@@ -443,22 +443,22 @@
 
 // The actions, as control.Actions names them.
 
-func (d *dispatcher) Forward(id control.InferenceID, w control.WorkerID, timeout control.Seconds) {
+func (d *dispatcher) Attempt(id control.RequestID, w control.WorkerID, timeout control.Seconds) {
 	o := d.do(acRelay)
 	o.u32(uint32(id))
 	o.worker(w)
 	o.micros(timeout)
 }
 
-func (d *dispatcher) Shed(id control.InferenceID, retryAfter control.Seconds) {
+func (d *dispatcher) Shed(id control.RequestID, retryAfter control.Seconds) {
 	o := d.do(acReject)
 	o.u32(uint32(id))
 	o.micros(retryAfter)
 }
 
-func (d *dispatcher) Fail(id control.InferenceID) { d.do(acReportFailure).u32(uint32(id)) }
+func (d *dispatcher) Fail(id control.RequestID) { d.do(acReportFailure).u32(uint32(id)) }
 
-func (d *dispatcher) Cancel(id control.InferenceID, forward int) {
+func (d *dispatcher) Cancel(id control.RequestID, forward int) {
 	o := d.do(acAbortAttempt)
 	o.u32(uint32(id))
 	o.u16(uint16(forward))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -18,16 +18,16 @@
 	todo func(control.Actions)
 }
 
-func (e *echo) say(f string, a ...any)           { *e.log = append(*e.log, fmt.Sprintf(f, a...)) }
-func (e *echo) At(now control.Seconds)           { e.say("at %.6f", now) }
-func (e *echo) Inference(q control.Inference)    { e.say("%+v", q) }
-func (e *echo) Outcome(o control.Outcome)        { e.say("%+v", o) }
-func (e *echo) Withdrawn(id control.InferenceID) { e.say("withdrawn %x", id) }
-func (e *echo) Ordered(o control.OrderResult)    { e.say("%+v", o) }
-func (e *echo) Probed(o control.ProbeResult)     { e.say("%+v", o) }
-func (e *echo) Told(p control.PeerID, n []byte)  { e.say("told %d %s", p, n) }
-func (e *echo) Timer(t control.TimerID)          { e.say("timer %d", t) }
-func (e *echo) Streaming(i control.InferenceID, f int, _ control.WorkerID, _ float64) {
+func (e *echo) say(f string, a ...any)          { *e.log = append(*e.log, fmt.Sprintf(f, a...)) }
+func (e *echo) At(now control.Seconds)          { e.say("at %.6f", now) }
+func (e *echo) Request(q control.Request)       { e.say("%+v", q) }
+func (e *echo) Outcome(o control.Outcome)       { e.say("%+v", o) }
+func (e *echo) Withdrawn(id control.RequestID)  { e.say("withdrawn %x", id) }
+func (e *echo) Ordered(o control.OrderResult)   { e.say("%+v", o) }
+func (e *echo) Probed(o control.ProbeResult)    { e.say("%+v", o) }
+func (e *echo) Told(p control.PeerID, n []byte) { e.say("told %d %s", p, n) }
+func (e *echo) Timer(t control.TimerID)         { e.say("timer %d", t) }
+func (e *echo) Streaming(i control.RequestID, f int, _ control.WorkerID, _ float64) {
 	e.say("stream %x.%d", i, f)
 }
 func (e *echo) Workers(k control.ListKind, v uint32, l []control.WorkerInfo) {
@@ -79,7 +79,7 @@
 		{"0500 4d000000", "timer 77"},
 		{"0200 192b6f0e", "withdrawn e6f2b19"},
 		{"0b00 c4913a5d 44480000 0a124a07 5b1b 0000 00 01 00 02 0000e04000004040",
-			"{ID:1564119492 Forward:0 Worker:30077778268682 Took:0.0185 Result:0 Found:0 Crowd:0 Final:true Report:[7 3]}"},
+			"{ID:1564119492 Attempt:0 Worker:30077778268682 Took:0.0185 Result:0 Found:0 Crowd:0 Final:true Report:[7 3]}"},
 		{"0600 0a9011f2 841b 010ad2557c000000 00 00c40900 01",
 			"{Worker:30257810870282 Model:534015773185 Result:0 Took:0.64 Copies:1}"},
 		{"0700 0a9011f2 841b 00 10270000 00", "{Worker:30257810870282 Result:0 Took:0.01 Report:[]}"},
@@ -103,7 +103,7 @@
 		todo func(control.Actions)
 		want string
 	}{
-		{func(a control.Actions) { a.Forward(0x5d3a91c4, w, 0.08); a.Wake(0.5, 77) },
+		{func(a control.Actions) { a.Attempt(0x5d3a91c4, w, 0.08); a.Wake(0.5, 77) },
 			"4d000300 4a00c4913a5d0a124a075b1b80380100 450020a107004d000000"},
 		{func(a control.Actions) { a.Log("two servers known") }, "4d000300 4c0011 0074776f2073657276657273206b6e6f776e"},
 		{func(a control.Actions) { a.Tell(control.AllPeers, []byte("hi 7")) }, "4d000300 4f00ffff040068692037"},
@@ -127,7 +127,7 @@
 	s, err := Settings([]byte(`{"request_classes":[{"aim_us":500000,"effect":"token","group":"cell"}],
 		"limits":{"max_attempts":6},"family_info":{"stays_loaded_us":8000000,"memory_mb_by_kind":[4]},"new_key":null}`))
 	if err != nil || s["groups"] != control.Length(1) || s.Num("groups", 0) != 1 || s["groups.0.slo"] != 0.5 || s["groups.0.effect"] != "deduped" ||
-		s["groups.0.scope"] != "cell" || s["limits.max_forwards"] != 6.0 || s["models.keep"] != 8.0 {
+		s["groups.0.scope"] != "cell" || s["limits.max_attempts"] != 6.0 || s["models.keep"] != 8.0 {
 		t.Errorf("%v %v", s, err)
 	}
 }
