--- a/control/settings.go
+++ b/control/settings.go
@@ -17,6 +17,7 @@
 	Want string // what may stand there
 }
 
+// Error names the setting, its value and what it should be.
 func (e *SettingError) Error() string {
 	return fmt.Sprintf("setting %s is %v: it should be %s", e.Name, e.Told, e.Want)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -460,6 +460,7 @@
 
 // The events that call for nothing but a note.
 
+// At sets the clock for the events of that moment.
 func (d *Dispatcher) At(now Seconds) { d.now = now }
 
 // Withdrawn takes note that the client left.
@@ -479,6 +480,7 @@
 // Told takes a note of a peer; none is needed so far.
 func (d *Dispatcher) Told(PeerID, []byte) {}
 
+// Timer has all in flight looked at.
 func (d *Dispatcher) Timer(TimerID) {
 	d.timerSet = false
 	d.inFlight.shrink(tableMin)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -26,8 +26,8 @@
 const (
 	ExitOK      = 0 // it did what it was asked, or stopped cleanly
 	ExitError   = 1 // a setting, an address or an argument was wrong; or a day broke a rule
-	ExitCrash   = 3 // the decisions failed; all in hand was answered failed
-	ExitStopped = 4 // it stopped, but the grace ran out and something in hand was answered failed
+	ExitCrash   = 3 // the decisions failed; all in flight was answered failed
+	ExitStopped = 4 // it stopped, but the grace ran out and something in flight was answered failed
 )
 
 const logLines = 10_000 // kept while the log's reader is slow; more are dropped and counted
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,13 +55,13 @@
 	SLO     Duration `yaml:"slo"`
 	Timeout Duration `yaml:"timeout"`
 	Value   float64  `yaml:"value"`
-	Stretch float64  `yaml:"slo_stretch"` // the SLO time is longer by so much of an inference's own work
+	Stretch float64  `yaml:"slo_stretch"` // the SLO time is longer by so much of a request's own work
 }
 
 // Tenant has a share of the traffic.
 type Tenant struct {
 	Name  string  `yaml:"name"`
-	Quota float64 `yaml:"quota"` // inferences a second through all dispatchers; 0 for no share
+	Quota float64 `yaml:"quota"` // requests a second through all dispatchers; 0 for no share
 }
 
 // Model is one model, or by a pattern several. The first that fits holds.
@@ -112,13 +112,13 @@
 	Share   float64  `yaml:"share"`
 }
 
-// Forwards say what may be done for one inference.
+// Forwards say what may be done for one request.
 type Forwards struct {
 	Most          int      `yaml:"most"`
 	SecondCopies  bool     `yaml:"second_copies"`
 	Cancel        bool     `yaml:"cancel"`
 	Probes        bool     `yaml:"probes"`
-	ProbePrice    float64  `yaml:"probe_price"` // of an inference's value
+	ProbePrice    float64  `yaml:"probe_price"` // of a request's value
 	MaxRetryAfter Duration `yaml:"max_retry_after"`
 }
 
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -13,7 +13,7 @@
 
 // told is what the head of a worker's answer says beside the answer itself.
 type told struct {
-	Heard
+	Reply
 	start  float64 // seconds since 1970; 0 for not told
 	memory float64 // MB, lanes and seconds of a load; 0 for not told
 	lanes  float64
@@ -144,7 +144,7 @@
 
 // lost tells what a call that ended without an answer proves: it never ran where no byte of it was written, and may
 // have run otherwise. A connection that was kept open and that the worker was closing is the classic trap: once a
-// byte was written to it, the forward may have run.
+// byte was written to it, the attempt may have run.
 func lost(err error, wrote bool) control.Result {
 	switch {
 	case wrote:
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,56 +8,56 @@
 	"mastchute/internal/roster"
 )
 
-// ending is an outcome to be told to the decisions; f nil: only lets the inference's place go.
+// ending is an outcome to be told to the decisions; f nil: only lets the request's place go.
 type ending struct {
-	q *Inference
-	f *Forward
+	q *Request
+	f *Attempt
 	o control.Outcome
 }
 
-func (g *Gateway) getForward() *Forward {
-	if n := len(g.forwards); n > 0 {
-		f := g.forwards[n-1]
-		g.forwards = g.forwards[:n-1]
+func (g *Gateway) getAttempt() *Attempt {
+	if n := len(g.freeAttempts); n > 0 {
+		f := g.freeAttempts[n-1]
+		g.freeAttempts = g.freeAttempts[:n-1]
 		return f
 	}
-	f := &Forward{g: g}
+	f := &Attempt{g: g}
 	f.timer.Fire = func() { g.end(f, control.TimedOut) }
 	f.window.Fire = func() {
-		if f.W.link.Handed(f) == 0 {
+		if f.Worker.link.Handed(f) == 0 {
 			g.end(f, control.NotSent)
 		}
 	}
 	return f
 }
 
-func (g *Gateway) putForward(f *Forward) {
-	f.Q, f.W = nil, nil
+func (g *Gateway) putAttempt(f *Attempt) {
+	f.Request, f.Worker = nil, nil
 	f.Body = f.Body[:0]
 	if cap(f.Body) > 64<<10 {
 		f.Body = nil
 	}
-	f.Heard, f.done, f.barred = Heard{}, false, false
-	g.forwards = append(g.forwards, f)
+	f.Reply, f.done, f.barred = Reply{}, false, false
+	g.freeAttempts = append(g.freeAttempts, f)
 }
 
 // The actions, as control.Actions names them.
 
-// Forward sends an inference to a worker.
+// Attempt sends a request to a worker.
 func (g *Gateway) Attempt(id control.RequestID, wid control.WorkerID, timeout control.Seconds) {
-	q, w := g.find(id), g.workers[wid]
-	if q == nil || w == nil || q.n >= mostForwards {
+	q, w := g.lookupRequest(id), g.workers[wid]
+	if q == nil || w == nil || q.attempted >= maxAttempts {
 		g.Metrics.guard("unknown")
 		return
 	}
-	f := g.getForward()
-	f.Q, f.N, f.W, f.made = q, q.n, w, g.Loop.Now()
-	w.out++
-	q.forwards[q.n] = f
-	q.n++
-	q.out++
+	f := g.getAttempt()
+	f.Request, f.Index, f.Worker, f.made = q, q.attempted, w, g.Loop.Now()
+	w.pending++
+	q.attempts[q.attempted] = f
+	q.attempted++
+	q.pending++
 	w.meter.forwards.Inc()
-	if q.final || w.State != control.Ready { // rules 1 and 3, whatever was decided
+	if q.answered || w.State != control.Ready { // rules 1 and 3, whatever was decided
 		g.Metrics.guard("forward_barred")
 		f.barred = true
 		g.end(f, control.NotSent)
@@ -70,14 +70,14 @@
 		g.Loop.Start(&f.window, f.NotAfter-f.made)
 	}
 	w.Sent()
-	w.link.Forward(f)
+	w.link.Send(f)
 }
 
-// repeatsUntil is when the window ends in which workers drop a repeat, counted from the first forward that may have run;
+// repeatsUntil is when the window ends in which workers drop a repeat, counted from the first attempt that may have run;
 // endless where there is none, or where repeats do no harm.
-func (q *Inference) repeatsUntil() float64 {
+func (q *Request) repeatsUntil() float64 {
 	if q.group.Effect == "deduped" {
-		for _, f := range q.forwards[:q.n-1] {
+		for _, f := range q.attempts[:q.attempted-1] {
 			if !f.done || !f.result.NeverRan() {
 				return f.made + q.group.Window.Seconds
 			}
@@ -88,7 +88,7 @@
 
 // Shed answers that trying again is harmless.
 func (g *Gateway) Shed(id control.RequestID, retryAfter control.Seconds) {
-	if q := g.find(id); q != nil && q.Client != nil {
+	if q := g.lookupRequest(id); q != nil && q.Client != nil {
 		if c := g.final(q, answerShed); c != nil {
 			c.Shed(q, retryAfter)
 		}
@@ -97,7 +97,7 @@
 
 // Fail answers that it did not work out, and promises nothing.
 func (g *Gateway) Fail(id control.RequestID) {
-	q := g.find(id)
+	q := g.lookupRequest(id)
 	if q == nil || q.Client == nil {
 		return
 	}
@@ -108,10 +108,10 @@
 	g.fail(q, false, "the workers failed; it may have run")
 }
 
-// Cancel gives a forward up.
+// Cancel gives an attempt up.
 func (g *Gateway) Cancel(id control.RequestID, n int) {
-	if q := g.find(id); q != nil && n < q.n {
-		g.end(q.forwards[n], control.Cancelled)
+	if q := g.lookupRequest(id); q != nil && n < q.attempted {
+		g.end(q.attempts[n], control.Cancelled)
 	}
 }
 
@@ -155,71 +155,71 @@
 // Log passes on what the decisions say.
 func (g *Gateway) Log(text string) { g.log.Info().Str("from", "decisions").Msg(text) }
 
-// Stream tells that the answer of a forward goes to the client as it comes from now on. The other forwards are given up:
+// Stream tells that the answer of an attempt goes to the client as it comes from now on. The other attempts are given up:
 // the client has its answer.
-func (g *Gateway) stream(f *Forward) {
-	q := f.Q
-	q.stream = f
+func (g *Gateway) stream(f *Attempt) {
+	q := f.Request
+	q.streaming = f
 	g.Loop.Cancel(&q.timer)
 	g.Loop.Cancel(&f.timer)
-	for _, o := range q.forwards[:q.n] {
+	for _, o := range q.attempts[:q.attempted] {
 		if o != f {
 			g.end(o, control.Cancelled)
 		}
 	}
 	g.begin()
 	if g.module != nil {
-		g.guard(func() { g.module.Streaming(q.id, f.N, f.W.ID, g.Loop.Now()-f.made) })
+		g.guard(func() { g.module.Streaming(q.id, f.Index, f.Worker.ID, g.Loop.Now()-f.made) })
 	}
 }
 
-// end ends a forward, once, and has its outcome told in this turn.
-func (g *Gateway) end(f *Forward, r control.Result) {
+// end ends an attempt, once, and has its outcome told in this turn.
+func (g *Gateway) end(f *Attempt, r control.Result) {
 	if f == nil || f.done {
 		return
 	}
 	if f.done = true; r == control.TimedOut || r == control.Cancelled || r == control.NotSent {
-		if f.barred || f.W.link.Handed(f) == 0 && r != control.TimedOut { // never handed to a connection that is up
+		if f.barred || f.Worker.link.Handed(f) == 0 && r != control.TimedOut { // never handed to a connection that is up
 			r = control.NotSent
 		}
 		if !f.barred { // the link has never had it
-			f.W.link.Cancel(f)
+			f.Worker.link.Cancel(f)
 		}
 	}
 	g.Loop.Cancel(&f.timer)
 	g.Loop.Cancel(&f.window)
-	q, now := f.Q, g.Loop.Now()
+	q, now := f.Request, g.Loop.Now()
 	f.result = r
-	f.W.out--
-	f.W.meter.ended(r)
-	o := control.Outcome{ID: q.id, Attempt: f.N, Worker: f.W.ID, Took: now - f.made, Result: r, Found: f.Heard.Found,
-		Crowd: f.Heard.Crowd, Report: f.Heard.Report[:f.Heard.Fields]}
-	if r == control.Returned && !q.final {
+	f.Worker.pending--
+	f.Worker.meter.ended(r)
+	o := control.Outcome{ID: q.id, Attempt: f.Index, Worker: f.Worker.ID, Took: now - f.made, Result: r, Found: f.Reply.Found,
+		Crowd: f.Reply.Crowd, Report: f.Reply.Report[:f.Reply.Fields]}
+	if r == control.Returned && !q.answered {
 		c := q.Client
 		q.Client = nil
 		c.Returned(q, f)
 		g.close(q, answerReturned)
-	} else if q.stream == f && !q.final { // cut short after it began: the client must see that
+	} else if q.streaming == f && !q.answered { // cut short after it began: the client must see that
 		c := q.Client
 		q.Client = nil
 		c.Failed(q, false, "the answer was cut short")
 		g.close(q, answerFailed)
 	}
-	o.Final = q.final
+	o.Final = q.answered
 	if len(g.ended) == 0 {
 		g.Loop.Later(g.tellFn)
 	}
 	g.ended = append(g.ended, ending{q: q, f: f, o: o})
 }
 
-// tell tells the decisions of the forwards that ended, in order.
+// tell tells the decisions of the attempts that ended, in order.
 func (g *Gateway) tell() {
 	g.ended, g.ending = g.ending[:0], g.ended
 	for i := range g.ending {
 		e := &g.ending[i]
 		if e.f != nil {
-			e.q.out--
-			e.o.Final = e.q.final
+			e.q.pending--
+			e.o.Final = e.q.answered
 			g.begin()
 			if g.module != nil {
 				g.outcome(&e.o)
@@ -227,7 +227,7 @@
 		}
 	}
 	for i := range g.ending {
-		g.letGo(g.ending[i].q)
+		g.release(g.ending[i].q)
 		g.ending[i] = ending{}
 	}
 }
@@ -253,8 +253,8 @@
 		p := o
 		o.timer.Fire = func() { p.finish(control.TimedOut) }
 	}
-	o.Kind, o.W, o.Model, o.Copies, o.made, o.done, o.Heard = kind, w, m, 1, g.Loop.Now(), false, Heard{}
-	w.out++
+	o.Kind, o.Worker, o.Model, o.Copies, o.made, o.done, o.Reply = kind, w, m, 1, g.Loop.Now(), false, Reply{}
+	w.pending++
 	if m != nil {
 		m.refs++
 	}
@@ -263,7 +263,7 @@
 
 func (o *Order) send(timeout float64) {
 	o.g.Loop.Start(&o.timer, timeout)
-	o.W.link.Order(o)
+	o.Worker.link.Order(o)
 }
 
 // Order asks a worker to hold copies of a model.
@@ -306,11 +306,11 @@
 	o.done = true
 	g := o.g
 	if r == control.TimedOut || r == control.NotSent {
-		o.W.link.Drop(o)
+		o.Worker.link.Drop(o)
 	}
 	g.Loop.Cancel(&o.timer)
 	took := g.Loop.Now() - o.made
-	o.W.out--
+	o.Worker.pending--
 	if o.Model != nil {
 		o.Model.refs--
 	}
@@ -318,18 +318,18 @@
 	case OrderLoad:
 		g.begin()
 		if g.module != nil {
-			res := control.OrderResult{Worker: o.W.ID, Model: o.Model.ID, Result: r, Took: took, Copies: o.Heard.Copies}
+			res := control.OrderResult{Worker: o.Worker.ID, Model: o.Model.ID, Result: r, Took: took, Copies: o.Reply.Copies}
 			g.guard(func() { g.module.Ordered(res) })
 		}
 	case OrderProbe:
 		g.begin()
 		if g.module != nil {
-			res := control.ProbeResult{Worker: o.W.ID, Result: r, Took: took, Report: o.Heard.Report[:o.Heard.Fields]}
+			res := control.ProbeResult{Worker: o.Worker.ID, Result: r, Took: took, Report: o.Reply.Report[:o.Reply.Fields]}
 			g.guard(func() { g.module.Probed(res) })
 		}
 	case OrderHello:
-		o.W.hello = nil
-		g.greeted(o.W, r == control.Returned)
+		o.Worker.hello = nil
+		g.greeted(o.Worker, r == control.Returned)
 	}
 	g.Loop.Later(func() { g.orders = append(g.orders, o) })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
-// Package gateway is the host around the decisions: it takes inferences from clients, lets control.Module decide, carries
-// out its actions towards workers, and gives each inference its one final answer. It knows clients and workers by the
+// Package gateway is the host around the decisions: it takes requests from clients, lets control.Module decide, carries
+// out its actions towards workers, and gives each request its one final answer. It knows clients and workers by the
 // interfaces of side.go; HTTP/1.1 is one implementation of them.
 //
 // It decides nothing about routing. What it adds are guards that hold whatever the decisions say: one final answer,
@@ -25,14 +25,14 @@
 )
 
 const (
-	mostForwards = 8     // as many as the decisions' record holds
-	viewMost     = 1000  // inferences told in a status
-	helloSpan    = 1.0   // s a newly listed worker may take to tell its start, before it is listed without
-	stopPoll     = 0.01  // s between looks while stopping
-	stopLinger   = 1.5   // s for the last answers to be read after the last inference has ended
-	forgetEvery  = 5.0   // s between looks for what may be forgotten
-	goneLong     = 300.0 // s after which a gone worker is forgotten, as the decisions do
-	slotBits     = 20    // of an inference's id: its place; the rest counts uses of the place
+	maxAttempts = 8     // as many as the decisions' record holds
+	viewMost    = 1000  // requests told in a status
+	helloSpan   = 1.0   // s a newly listed worker may take to tell its start, before it is listed without
+	stopPoll    = 0.01  // s between looks while stopping
+	stopLinger  = 1.5   // s for the last answers to be read after the last request has ended
+	forgetEvery = 5.0   // s between looks for what may be forgotten
+	goneLong    = 300.0 // s after which a gone worker is forgotten, as the decisions do
+	slotBits    = 20    // of a request's id: its place; the rest counts uses of the place
 )
 
 // Start makes the decisions of a dispatcher.
@@ -50,7 +50,7 @@
 	module control.Module
 	set    control.Settings
 	epoch  float64 // seconds since 1970 at the loop's second 0
-	name   string  // of this start: what inference ids begin with
+	name   string  // of this start: what request ids begin with
 	seq    uint64
 	batch  bool // the module has heard events since its last Settle
 
@@ -60,14 +60,14 @@
 	groups     []*group
 	workers    map[control.WorkerID]*Worker
 
-	slab     []*Inference
-	free     []int32
-	inHand   int
-	forwards []*Forward // free ones
-	orders   []*Order   // free ones
-	ended    []ending   // outcomes to be told in this turn
-	ending   []ending
-	tellFn   func()
+	requests     []*Request
+	free         []int32
+	inFlight     int
+	freeAttempts []*Attempt // free ones
+	orders       []*Order   // free ones
+	ended        []ending   // outcomes to be told in this turn
+	ending       []ending
+	tellFn       func()
 
 	subscribed  bool
 	stopping    bool
@@ -82,7 +82,7 @@
 // Exit tells how a gateway ended.
 type Exit struct {
 	Crash  string // the decisions failed: what they said
-	Failed int    // inferences that were failed because the stop's grace ran out
+	Failed int    // requests that were failed because the stop's grace ran out
 }
 
 type group struct {
@@ -205,7 +205,7 @@
 	g.module.Settle()
 }
 
-func (g *Gateway) inference(in *control.Request) {
+func (g *Gateway) request(in *control.Request) {
 	defer g.caught()
 	g.module.Request(*in)
 }
@@ -237,7 +237,7 @@
 	}
 }
 
-// guard runs decision code. A panic in it ends the dispatcher: all in hand is failed, nothing is guessed.
+// guard runs decision code. A panic in it ends the dispatcher: all in flight is failed, nothing is guessed.
 func (g *Gateway) guard(f func()) {
 	defer g.caught()
 	if g.exit.Crash == "" {
@@ -248,7 +248,7 @@
 func (g *Gateway) crash(why string, stack []byte) {
 	g.exit.Crash = why
 	g.module = nil
-	g.log.Error().Str("panic", why).Str("stack", string(stack)).Int("in_hand", g.inHand).Msg("decision code failed; this dispatcher ends")
+	g.log.Error().Str("panic", why).Str("stack", string(stack)).Int("in_hand", g.inFlight).Msg("decision code failed; this dispatcher ends")
 	g.Loop.Later(func() {
 		g.front.Drain()
 		g.failAll("the dispatcher failed")
@@ -257,17 +257,17 @@
 	})
 }
 
-// failAll gives everything in hand its final answer: at a stop shed where that is true, else failed, which promises
+// failAll gives everything in flight its final answer: at a stop shed where that is true, else failed, which promises
 // nothing.
 func (g *Gateway) failAll(why string) int {
 	n := 0
-	for _, q := range g.slab {
-		if q.live && !q.final {
+	for _, q := range g.requests {
+		if q.live && !q.answered {
 			n++
 			if g.exit.Crash != "" {
 				g.fail(q, false, why)
 			} else {
-				g.letDown(q, why)
+				g.answerAtStop(q, why)
 			}
 			g.begin()
 			if g.module != nil {
@@ -278,14 +278,14 @@
 	return n
 }
 
-// Stop ends the gateway: nothing new is accepted, all in hand is answered, within grace seconds, and then the loop
+// Stop ends the gateway: nothing new is accepted, all in flight is answered, within grace seconds, and then the loop
 // stops. A second call shortens the grace.
 func (g *Gateway) Stop(grace float64) {
 	by := g.Loop.Now() + grace
 	if g.stopping {
 		g.stopBy = math.Min(g.stopBy, by)
 	} else {
-		g.log.Info().Int("in_hand", g.inHand).Float64("grace_s", grace).Msg("stopping")
+		g.log.Info().Int("in_hand", g.inFlight).Float64("grace_s", grace).Msg("stopping")
 		g.stopping, g.stopBy = true, by
 		g.front.Drain()
 	}
@@ -294,7 +294,7 @@
 
 func (g *Gateway) stopLook() {
 	now := g.Loop.Now()
-	if g.inHand > 0 && now >= g.stopBy {
+	if g.inFlight > 0 && now >= g.stopBy {
 		if n := g.failAll("the dispatcher is stopping"); n > 0 {
 			g.exit.Failed += n
 			g.log.Warn().Int("failed", n).Msg("stop grace ran out; what was in hand is failed")
@@ -320,8 +320,8 @@
 
 // anyOpen tells whether anything still waits for its final answer.
 func (g *Gateway) anyOpen() bool {
-	for _, q := range g.slab {
-		if q.live && !q.final {
+	for _, q := range g.requests {
+		if q.live && !q.answered {
 			return true
 		}
 	}
@@ -349,7 +349,7 @@
 		if w == nil {
 			return true
 		}
-		if w.out > 0 || w.hello != nil || w.again.Pending() || w.link.Conns() > 0 {
+		if w.pending > 0 || w.hello != nil || w.again.Pending() || w.link.Conns() > 0 {
 			return false
 		}
 		delete(g.workers, r.ID)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -102,8 +102,8 @@
 		}
 	}
 	r.on(func() {
-		if r.g.seq != 0 || r.g.inHand != 0 || r.g.front.Held() != 0 {
-			t.Errorf("taken %d, in hand %d, %d bytes held", r.g.seq, r.g.inHand, r.g.front.Held())
+		if r.g.seq != 0 || r.g.inFlight != 0 || r.g.front.Held() != 0 {
+			t.Errorf("taken %d, in hand %d, %d bytes held", r.g.seq, r.g.inFlight, r.g.front.Held())
 		}
 	})
 }
@@ -119,7 +119,7 @@
 		t.Errorf("%+v", a)
 	}
 	c.Close()
-	r.until("its memory is handed back", func() bool { return r.g.front.Held() == 0 && r.g.inHand == 0 })
+	r.until("its memory is handed back", func() bool { return r.g.front.Held() == 0 && r.g.inFlight == 0 })
 }
 
 // Rule 1: a worker that says nothing costs the client no more than its time; nothing is sent after.
@@ -130,7 +130,7 @@
 	if a.status != 504 || a.answer != "failed" || a.took > 320*time.Millisecond || a.took < 200*time.Millisecond {
 		t.Errorf("%+v", a)
 	}
-	r.until("the forward is called off", func() bool { return w.ended() == 1 && r.g.inHand == 0 })
+	r.until("the forward is called off", func() bool { return w.ended() == 1 && r.g.inFlight == 0 })
 	if len(w.seen()) != 1 || r.guard("late") != 0 {
 		t.Errorf("%d forwards; the host had to answer %g times", len(w.seen()), r.guard("late"))
 	}
@@ -143,7 +143,7 @@
 	io.WriteString(c, "POST /v2/models/read-1/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\nin")
 	r.until("it is forwarded", func() bool { return len(w.seen()) == 1 })
 	c.Close()
-	r.until("the forward is called off and forgotten", func() bool { return w.ended() == 1 && r.g.inHand == 0 })
+	r.until("the forward is called off and forgotten", func() bool { return w.ended() == 1 && r.g.inFlight == 0 })
 	if n := counted(r, "mastchute_answers_total", "left"); n != 1 {
 		t.Errorf("left counted %g times", n)
 	}
@@ -157,7 +157,7 @@
 		model  string
 		status int
 		answer string
-		second bool // a further forward goes to the other worker
+		second bool // a retry goes to the other worker
 	}{
 		{"full", full, "once-1", 200, "returned", true},
 		{"miss", missed, "once-1", 200, "returned", true},
@@ -216,7 +216,7 @@
 	}
 }
 
-// Rule 2 for a deduped model group: outside its zone nothing is sent once a forward may have run.
+// Rule 2 for a deduped model group: outside its zone nothing is sent once an attempt may have run.
 func TestDedupedStaysInItsZone(t *testing.T) {
 	ws := []*scripted{newWorker(t, "w1", reset), newWorker(t, "w2", reset), newWorker(t, "w3", reset), newWorker(t, "w4", reset)}
 	r := newRig(t, "forwards: {most: 6}\n", nil, ws...)
@@ -227,7 +227,7 @@
 	}
 }
 
-// A repeat of a deduplicated inference that waits for a connection until its window is over never leaves.
+// A repeat of a deduplicated request that waits for a connection until its window is over never leaves.
 func TestNoRepeatLeavesAfterItsWindow(t *testing.T) {
 	a := newWorker(t, "w1", reset, fine)
 	r := newRig(t, "", nil, a)
@@ -236,12 +236,12 @@
 		turn := r.g.Loop.OnTurn
 		r.g.Loop.OnTurn = func() {
 			turn()
-			for _, q := range r.g.slab {
+			for _, q := range r.g.requests {
 				if !q.live {
 					continue
 				}
-				for _, f := range q.forwards[:q.n] {
-					if c, _ := f.Call.(*httpCall); f.N > 0 && !f.done && c.call.Peek == 0 {
+				for _, f := range q.attempts[:q.attempted] {
+					if c, _ := f.Call.(*httpCall); f.Index > 0 && !f.done && c.call.Peek == 0 {
 						looked++
 						c.call.NotAfter = r.g.Loop.Now() - 0.001 // the connection comes up a moment too late
 						q.group.Window = config.S(0)             // and so do all further ones
@@ -260,18 +260,18 @@
 	})
 }
 
-// The window counts from the first forward that may have run.
+// The window counts from the first attempt that may have run.
 func TestWindowCountsFromTheFirstThatMayHaveRun(t *testing.T) {
-	q := &Inference{group: &group{}, n: 4}
+	q := &Request{group: &group{}, attempted: 4}
 	q.group.Effect, q.group.Window = "deduped", config.S(2)
-	q.forwards = [mostForwards]*Forward{{made: 1, done: true, result: control.Full}, {made: 3, done: true, result: control.Reset}, {made: 4}, {made: 4.5}}
+	q.attempts = [maxAttempts]*Attempt{{made: 1, done: true, result: control.Full}, {made: 3, done: true, result: control.Reset}, {made: 4}, {made: 4.5}}
 	if until := q.repeatsUntil(); until != 5 {
 		t.Errorf("it ends at %g", until)
 	}
-	if q.n = 2; !math.IsInf(q.repeatsUntil(), 1) {
+	if q.attempted = 2; !math.IsInf(q.repeatsUntil(), 1) {
 		t.Error("a forward that never ran begins the window")
 	}
-	if q.n, q.group.Effect = 4, "retriable"; !math.IsInf(q.repeatsUntil(), 1) {
+	if q.attempted, q.group.Effect = 4, "retriable"; !math.IsInf(q.repeatsUntil(), 1) {
 		t.Error("a retriable one has a window")
 	}
 }
@@ -308,7 +308,7 @@
 	}
 }
 
-// Rule 5, and the path of a miss: one load order, within the ration, then the forward again.
+// Rule 5, and the path of a miss: one load order, within the ration, then the attempt again.
 func TestMissOrdersALoad(t *testing.T) {
 	w := newWorker(t, "w1", missed, reply(200, "Mastchute-Copies: 1\r\n", ""), fine, missed)
 	r := newRig(t, "loads: {on_miss: miss, window: 60s, few: 1, share: 0}\n", nil, w)
@@ -395,18 +395,18 @@
 		c := r.dial()
 		io.WriteString(c, "POST /v2/models/read-1/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\nin")
 		r.until("the answer streams and is held back", func() bool {
-			for _, q := range r.g.slab {
+			for _, q := range r.g.requests {
 				if !q.live {
 					continue
 				}
-				if q.live && q.stream != nil && q.Client.(*httpClient).x.Waiting() > 128<<10 {
+				if q.live && q.streaming != nil && q.Client.(*httpClient).x.Waiting() > 128<<10 {
 					return true
 				}
 			}
 			return false
 		})
 		r.on(func() {
-			for _, q := range r.g.slab {
+			for _, q := range r.g.requests {
 				if !q.live {
 					continue
 				}
@@ -423,7 +423,7 @@
 		if err != nil || !bytes.Equal(b, big) || resp.Header.Get("Mastchute-Answer") != "returned" {
 			t.Errorf("chunked %v: %d bytes, %v", chunked, len(b), err)
 		}
-		r.until("nothing is in hand", func() bool { return r.g.inHand == 0 })
+		r.until("nothing is in hand", func() bool { return r.g.inFlight == 0 })
 	}
 }
 
@@ -437,7 +437,7 @@
 	if a := r.ask("read-1", "", "in"); a.err == nil {
 		t.Errorf("a cut answer looks whole: %d bytes", len(a.body))
 	}
-	r.until("nothing is in hand", func() bool { return r.g.inHand == 0 })
+	r.until("nothing is in hand", func() bool { return r.g.inFlight == 0 })
 	if len(w.seen()) != 1 {
 		t.Errorf("%d forwards: once it streams, the answer is the client's", len(w.seen()))
 	}
@@ -479,11 +479,11 @@
 	out := make(chan got, 1)
 	body := strings.Repeat("x", 8<<20)
 	go func() { out <- r.ask("read-1", "", body) }()
-	var f *Forward
+	var f *Attempt
 	r.until("the forward waits for the worker to read", func() bool {
-		for _, q := range r.g.slab {
-			if q.live && q.n > 0 && q.forwards[0].W.link.Handed(q.forwards[0]) > 0 {
-				f = q.forwards[0]
+		for _, q := range r.g.requests {
+			if q.live && q.attempted > 0 && q.attempts[0].Worker.link.Handed(q.attempts[0]) > 0 {
+				f = q.attempts[0]
 			}
 		}
 		return f != nil && f.Call.(*httpCall).call.Waiting() > 0
@@ -555,14 +555,14 @@
 	r := newRig(t, "", brokeStart(func(b *broke) {
 		b.act.Shed(b.id, 0.5)
 		b.act.Shed(b.id, 0.5)       // a second answer
-		b.act.Attempt(b.id, b.w, 0) // and a forward after it
+		b.act.Attempt(b.id, b.w, 0) // and an attempt after it
 		b.id = 0
 	}), w)
 	a := r.ask("read-1", "", "in")
 	if a.status != 503 || a.answer != "shed" || a.header.Get("Retry-After") != "1" || a.header.Get("Mastchute-Retry-After") != "0.500" {
 		t.Errorf("%+v", a)
 	}
-	r.until("nothing is in hand", func() bool { return r.g.inHand == 0 })
+	r.until("nothing is in hand", func() bool { return r.g.inFlight == 0 })
 	if len(w.seen()) != 0 || r.guard("forward_barred")+r.guard("unknown") != 1 {
 		t.Errorf("%d forwards after the answer", len(w.seen()))
 	}
@@ -573,7 +573,7 @@
 	r := newRig(t, "", nil, newWorker(t, "w1", slow))
 	out := make(chan got, 1)
 	go func() { out <- r.ask("once-1", "", "in") }()
-	r.until("it is in hand", func() bool { return r.g.inHand == 1 })
+	r.until("it is in hand", func() bool { return r.g.inFlight == 1 })
 	idle := r.dial()
 	r.on(func() {})
 	r.on(func() { r.g.Stop(5) })
@@ -597,7 +597,7 @@
 	r := newRig(t, "", nil, newWorker(t, "w1", silent))
 	out := make(chan got, 1)
 	go func() { out <- r.ask("once-1", "", "in") }()
-	r.until("it is in hand", func() bool { return r.g.inHand == 1 })
+	r.until("it is in hand", func() bool { return r.g.inFlight == 1 })
 	r.on(func() { r.g.Stop(30) })
 	r.on(func() { r.g.Stop(0) })
 	if a := <-out; a.status != 502 || a.answer != "failed" {
@@ -623,7 +623,7 @@
 	}
 }
 
-// In the steady state the whole path, client and worker of this test included, allocates nothing for an inference.
+// In the steady state the whole path, client and worker of this test included, allocates nothing for a request.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	if raceOn {
 		t.Skip("the race detector allocates")
--- a/internal/gateway/http_front.go
+++ b/internal/gateway/http_front.go
@@ -59,11 +59,11 @@
 func (p *httpFront) Held() int64         { return p.budget.Used }
 func (p *httpFront) Link(w *Worker) Link { return newHTTPLink(p.g, w) }
 
-// httpClient is the client's side of one inference.
+// httpClient is the client's side of one request.
 type httpClient struct {
 	p *httpFront
 	x *h1.Exchange
-	q *Inference
+	q *Request
 }
 
 func matches(pattern, name string) bool {
@@ -103,7 +103,7 @@
 	case !g.Serving():
 		x.CloseAfter()
 		return p.refuse(x, "stopping", 503, "the dispatcher is stopping")
-	case g.inHand >= g.cfg.Limits.Inferences:
+	case g.inFlight >= g.cfg.Limits.Inferences:
 		return p.refuse(x, "too_many", 503, "too many inferences are in hand")
 	}
 	if t := h.Get("mastchute-tenant"); len(t) > 0 && len(g.tenants) > 0 {
@@ -128,7 +128,7 @@
 	return true
 }
 
-// ready tells whether there is a worker to forward to.
+// ready tells whether there is a worker to attempt to.
 func (g *Gateway) ready() bool {
 	if g.stopping || g.module == nil {
 		return false
@@ -141,7 +141,7 @@
 	return false
 }
 
-// refuse answers before an inference is taken: no Mastchute-Answer, since nothing was taken.
+// refuse answers before a request is taken: no Mastchute-Answer, since nothing was taken.
 func (p *httpFront) refuse(x *h1.Exchange, why string, status int, text string) bool {
 	p.g.Metrics.refused(why)
 	b := x.Start(status)
@@ -159,12 +159,12 @@
 // Refused implements h1.Service.
 func (p *httpFront) Refused(e *http1.Error) { p.g.Metrics.refused("http_" + strconv.Itoa(e.Status)) }
 
-// Request implements h1.Service: an inference is taken.
+// Request implements h1.Service: a request is taken.
 func (p *httpFront) Request(x *h1.Exchange) {
 	g := p.g
 	name, _, _ := modelPath(x.Head.Target)
 	m, err := g.lookup(name)
-	if m == nil || err != nil || !g.Serving() || g.inHand >= g.cfg.Limits.Inferences {
+	if m == nil || err != nil || !g.Serving() || g.inFlight >= g.cfg.Limits.Inferences {
 		p.refuse(x, "stopping", 503, "the dispatcher is stopping or full") // since its head came in
 		return
 	}
@@ -180,7 +180,7 @@
 		}
 	}
 	c := p.take(x)
-	c.q = g.Take(c, m, tenant, in)
+	c.q = g.Accept(c, m, tenant, in)
 }
 
 func (p *httpFront) take(x *h1.Exchange) *httpClient {
@@ -210,16 +210,16 @@
 
 // Drained implements h1.Service: a streamed answer has room again.
 func (p *httpFront) Drained(x *h1.Exchange) {
-	if c, _ := x.Owner.(*httpClient); c != nil && c.x == x && c.q.stream != nil {
-		c.q.stream.Call.(*httpCall).call.Resume()
+	if c, _ := x.Owner.(*httpClient); c != nil && c.x == x && c.q.streaming != nil {
+		c.q.streaming.Call.(*httpCall).call.Resume()
 	}
 }
 
 // Returned implements Client.
-func (c *httpClient) Returned(q *Inference, f *Forward) {
+func (c *httpClient) Returned(q *Request, f *Attempt) {
 	x, call := c.x, f.Call.(*httpCall)
 	c.p.put(c)
-	if q.stream == f {
+	if q.streaming == f {
 		x.End()
 		return
 	}
@@ -228,7 +228,7 @@
 }
 
 // Shed implements Client.
-func (c *httpClient) Shed(q *Inference, retry float64) {
+func (c *httpClient) Shed(q *Request, retry float64) {
 	x := c.x
 	c.p.put(c)
 	b := c.p.marks(x.Start(503), q, answerShed)
@@ -242,13 +242,13 @@
 }
 
 // Failed implements Client.
-func (c *httpClient) Failed(q *Inference, late bool, why string) {
+func (c *httpClient) Failed(q *Request, late bool, why string) {
 	x, status := c.x, 502
 	c.p.put(c)
 	if late {
 		status = 504
 	}
-	if q.stream != nil { // the answer has begun: it can only be cut off, so that the client sees it
+	if q.streaming != nil { // the answer has begun: it can only be cut off, so that the client sees it
 		x.Break()
 		return
 	}
@@ -259,7 +259,7 @@
 }
 
 // marks are the headers of every final answer.
-func (p *httpFront) marks(b []byte, q *Inference, a answer) []byte {
+func (p *httpFront) marks(b []byte, q *Request, a answer) []byte {
 	b = append(b, "Mastchute-Answer: "...)
 	b = append(b, a.String()...)
 	b = append(b, "\r\nMastchute-Inference: "...)
--- a/internal/gateway/http_link.go
+++ b/internal/gateway/http_link.go
@@ -27,9 +27,9 @@
 		}})}
 }
 
-// httpCall is the record of one forward; it stays with it.
+// httpCall is the record of one attempt; it stays with it.
 type httpCall struct {
-	f       *Forward
+	f       *Attempt
 	call    h1.Call
 	head    []byte
 	status  int
@@ -47,14 +47,14 @@
 	told told
 }
 
-// Forward implements Link.
-func (l *httpLink) Forward(f *Forward) {
+// Send implements Link.
+func (l *httpLink) Send(f *Attempt) {
 	c, _ := f.Call.(*httpCall)
 	if c == nil {
 		c = &httpCall{f: f}
 		c.call.Caller, f.Call = c, c
 	}
-	x := f.Q.Client.(*httpClient).x
+	x := f.Request.Client.(*httpClient).x
 	c.headers, c.status, c.length, c.told = c.headers[:0], 0, -1, told{}
 	c.head = l.g.requestHead(c.head[:0], x, f)
 	c.call.NotAfter = f.NotAfter
@@ -62,14 +62,14 @@
 }
 
 // Cancel implements Link.
-func (l *httpLink) Cancel(f *Forward) {
+func (l *httpLink) Cancel(f *Attempt) {
 	if c, _ := f.Call.(*httpCall); c != nil {
 		c.call.Cancel()
 	}
 }
 
 // Handed implements Link.
-func (l *httpLink) Handed(f *Forward) float64 {
+func (l *httpLink) Handed(f *Attempt) float64 {
 	if c, _ := f.Call.(*httpCall); c != nil {
 		return c.call.Peek
 	}
@@ -77,7 +77,7 @@
 }
 
 // Whole implements Link.
-func (l *httpLink) Whole(f *Forward) bool {
+func (l *httpLink) Whole(f *Attempt) bool {
 	c, _ := f.Call.(*httpCall)
 	return c != nil && c.call.Whole()
 }
@@ -100,7 +100,7 @@
 	}
 	b := http1.AppendRequest(c.head[:0], method, target)
 	b = append(b, "Host: "...)
-	b = o.W.Addr.AppendTo(b)
+	b = o.Worker.Addr.AppendTo(b)
 	b = append(b, "\r\nMastchute-Dispatcher: "...)
 	b = append(b, l.g.cfg.Name...)
 	b = append(b, "\r\n"...)
@@ -119,13 +119,13 @@
 	}
 }
 
-// requestHead writes the head of a forward: the client's headers but those of its connection and ours, then ours.
-func (g *Gateway) requestHead(b []byte, x *h1.Exchange, f *Forward) []byte {
-	q, h := f.Q, &x.Head
+// requestHead writes the head of an attempt: the client's headers but those of its connection and ours, then ours.
+func (g *Gateway) requestHead(b []byte, x *h1.Exchange, f *Attempt) []byte {
+	q, h := f.Request, &x.Head
 	b = append(b, "POST /v2/models/"...)
 	b = append(b, q.model.Name...)
 	b = append(b, "/infer HTTP/1.1\r\nHost: "...)
-	b = f.W.Addr.AppendTo(b)
+	b = f.Worker.Addr.AppendTo(b)
 	b = append(b, "\r\n"...)
 	conn, key := h.Get("connection"), false
 	for i := range h.Headers {
@@ -142,7 +142,7 @@
 		b = append(b, v...)
 		b = append(b, "\r\n"...)
 	}
-	if !key && q.group.Effect != "retriable" { // a mark of our own, good for our own further forwards
+	if !key && q.group.Effect != "retriable" { // a mark of our own, good for our own retries
 		b = append(b, "Idempotency-Key: "...)
 		b = g.appendID(b, q)
 		b = append(b, "\r\n"...)
@@ -150,7 +150,7 @@
 	b = append(b, "Mastchute-Inference: "...)
 	b = g.appendID(b, q)
 	b = append(b, "\r\nMastchute-Forward: "...)
-	b = strconv.AppendInt(b, int64(f.N), 10)
+	b = strconv.AppendInt(b, int64(f.Index), 10)
 	b = append(b, "\r\nMastchute-Dispatcher: "...)
 	b = append(b, g.cfg.Name...)
 	b = append(b, "\r\nMastchute-Group: "...)
@@ -166,15 +166,15 @@
 func (c *httpCall) Head(h *http1.Head) {
 	f, g := c.f, c.f.g
 	c.told = classify(h, g.cfg.Report)
-	f.Heard = c.told.Heard
+	f.Reply = c.told.Reply
 	c.status, c.length = h.Status, h.Length
-	g.heard(f.W, c.told.start)
-	if m := f.Q.model; c.told.Result == control.Returned { // what the catalogue does not say, workers may
+	g.heard(f.Worker, c.told.start)
+	if m := f.Request.model; c.told.Result == control.Returned { // what the catalogue does not say, workers may
 		m.Memory = cmp.Or(m.Memory, c.told.memory)
 		m.Lanes = cmp.Or(m.Lanes, c.told.lanes)
 		m.Load = cmp.Or(m.Load, c.told.load)
 	}
-	if c.told.Result != control.Returned || f.Q.final {
+	if c.told.Result != control.Returned || f.Request.answered {
 		return
 	}
 	for i := range h.Headers {
@@ -195,11 +195,11 @@
 // Body implements h1.Caller: an answer is held whole up to a limit, and goes through as it comes beyond it.
 func (c *httpCall) Body(b []byte) {
 	f := c.f
-	q := f.Q
+	q := f.Request
 	switch {
-	case c.told.Result != control.Returned || q.final && q.stream != f:
+	case c.told.Result != control.Returned || q.answered && q.streaming != f:
 		return
-	case q.stream == f:
+	case q.streaming == f:
 		if !q.Client.(*httpClient).x.Write(b) {
 			c.call.Pause()
 		}
@@ -214,9 +214,9 @@
 // stream begins to pass the answer on as it comes.
 func (c *httpCall) stream() {
 	f := c.f
-	cl := f.Q.Client.(*httpClient)
+	cl := f.Request.Client.(*httpClient)
 	x := cl.x
-	b := cl.p.marks(x.Start(c.status), f.Q, answerReturned)
+	b := cl.p.marks(x.Start(c.status), f.Request, answerReturned)
 	b = append(b, c.headers...)
 	x.Stream(b, c.length)
 	if len(f.Body) > 0 && !x.Write(f.Body) {
@@ -238,8 +238,8 @@
 // Head implements h1.Caller.
 func (c *httpOrder) Head(h *http1.Head) {
 	c.told = classify(h, c.o.g.cfg.Report)
-	c.o.Heard = c.told.Heard
-	c.o.g.heard(c.o.W, c.told.start)
+	c.o.Reply = c.told.Reply
+	c.o.g.heard(c.o.Worker, c.told.start)
 }
 
 // Body implements h1.Caller.
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -23,7 +23,7 @@
 
 	group      *group
 	used       float64 // when it was asked for last
-	refs       int     // inferences and orders in hand that name it
+	refs       int     // requests and orders in flight that name it
 	prev, next *Model  // in the order of use
 }
 
@@ -50,7 +50,7 @@
 	m.prev.next, s.oldest.prev = m, m
 }
 
-// forget drops those not asked for since a time; with room wanted, any that is not in hand.
+// forget drops those not asked for since a time; with room wanted, any that is not in flight.
 func (s *models) forget(since float64, most int) {
 	for m := s.oldest.next; m != &s.oldest && (m.used < since || len(s.byID) >= most); {
 		next := m.next
@@ -119,5 +119,5 @@
 // SetModels takes a new catalogue in service: models seen before keep what they are unless it names them anew.
 func (g *Gateway) SetModels(list []config.Model) {
 	g.cfg.Models = list
-	clear(g.models.byName) // read anew on the next inference; ids stay
+	clear(g.models.byName) // read anew on the next request; ids stay
 }
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -225,7 +225,7 @@
 	return c
 }
 
-// ask sends one inference and reads its answer.
+// ask sends one request and reads its answer.
 func (r *rig) ask(model, headers, body string) got {
 	r.t.Helper()
 	c := r.dial()
--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -10,15 +10,15 @@
 // The host knows clients and workers by what follows and by nothing else. HTTP/1.1 (http_front.go, http_link.go) is one
 // implementation, internal/platform the other. All of it runs on the loop.
 
-// Client is the client's side of one inference. The host calls exactly one method, once, and forgets the client; when
+// Client is the client's side of one request. The host calls exactly one method, once, and forgets the client; when
 // the client goes first, its implementation calls Gateway.Left instead and hears nothing.
 type Client interface {
 	// Returned passes on the answer that f holds.
-	Returned(q *Inference, f *Forward)
+	Returned(q *Request, f *Attempt)
 	// Shed answers that trying again is harmless, after so many seconds where that may be told; 0 tells nothing.
-	Shed(q *Inference, retryAfter float64)
+	Shed(q *Request, retryAfter float64)
 	// Failed answers that it did not work out; late tells that the client's time was the reason.
-	Failed(q *Inference, late bool, why string)
+	Failed(q *Request, late bool, why string)
 }
 
 // Front takes clients in by one protocol, and makes the links to workers.
@@ -33,34 +33,34 @@
 	Held() int64
 }
 
-// Link is the way to one worker: it carries forwards and orders, and tells what became of them by Forward.End and
+// Link is the way to one worker: it carries attempts and orders, and tells what became of them by Attempt.End and
 // Order.End, later, once each, unless they were cancelled.
 type Link interface {
-	// Forward hands an inference to the worker.
-	Forward(f *Forward)
-	// Cancel gives a forward up: what has not been sent never is, and nothing more is heard of it.
-	Cancel(f *Forward)
-	// Handed is the loop's time when the forward was handed to a connection that is up; 0 before.
-	Handed(f *Forward) float64
-	// Whole tells whether the forward has been handed over so far that it cannot be held back.
-	Whole(f *Forward) bool
+	// Send hands a request to the worker.
+	Send(f *Attempt)
+	// Cancel gives an attempt up: what has not been sent never is, and nothing more is heard of it.
+	Cancel(f *Attempt)
+	// Handed is the loop's time when the attempt was handed to a connection that is up; 0 before.
+	Handed(f *Attempt) float64
+	// Whole tells whether the attempt has been handed over so far that it cannot be held back.
+	Whole(f *Attempt) bool
 	// Order sends a load order, an unload, a probe or a hello. One that has no answer ends when it is sent.
 	Order(o *Order)
 	// Drop gives an order up: nothing more is heard of it.
 	Drop(o *Order)
 	// CloseIdle closes the connections that carry nothing.
 	CloseIdle()
-	// Abandon ends, as control.Moot and soon, all that has not been sent.
+	// Abandon ends, as control.NotSent and soon, all that has not been sent.
 	Abandon()
 	// Close closes what is idle, and each other connection when it becomes so.
 	Close()
-	// Conns is how many connections there are, Queued how many forwards and orders wait to be sent.
+	// Conns is how many connections there are, Queued how many attempts and orders wait to be sent.
 	Conns() int
 	Queued() int
 }
 
-// Heard is what a worker's answer says beside the answer itself. Crowd is -1 and Fields 0 where not told.
-type Heard struct {
+// Reply is what a worker's answer says beside the answer itself. Crowd is -1 and Fields 0 where not told.
+type Reply struct {
 	Result control.Result
 	Found  control.Found
 	Crowd  int
@@ -72,24 +72,24 @@
 // Worker is a worker of the roster with the way to it.
 type Worker struct {
 	*roster.Worker
-	link  Link
-	addr  netip.AddrPort // the link's
-	epoch float64        // the start that the list told when the link was made
-	told  bool           // the decisions have been told of it
-	out   int            // forwards and orders that have not ended
-	hello *Order
-	again timer // asks it once more for its start
-	meter workerMeter
+	link    Link
+	addr    netip.AddrPort // the link's
+	epoch   float64        // the start that the list told when the link was made
+	told    bool           // the decisions have been told of it
+	pending int            // attempts and orders that have not ended
+	hello   *Order
+	again   timer // asks it once more for its start
+	meter   workerMeter
 }
 
-// Forward is one sending of an inference to a worker.
-type Forward struct {
-	Q     *Inference
-	W     *Worker
-	N     int // counted from 0
-	Heard Heard
-	Body  []byte // of the answer, as far as it is held
-	Call  any    // the link's own record; it stays with this one when it is used again
+// Attempt is one sending of a request to a worker.
+type Attempt struct {
+	Request *Request
+	Worker  *Worker
+	Index   int // counted from 0
+	Reply   Reply
+	Body    []byte // of the answer, as far as it is held
+	Call    any    // the link's own record; it stays with this one when it is used again
 	// NotAfter is the loop's time after which none of it may leave: a repeat would no longer be dropped by the workers.
 	NotAfter float64
 
@@ -103,13 +103,13 @@
 }
 
 // Done tells whether it has ended.
-func (f *Forward) Done() bool { return f.done }
+func (f *Attempt) Done() bool { return f.done }
 
 // MayLeave tells whether it may still be written to a connection.
-func (f *Forward) MayLeave() bool { return f.g.Loop.Now() <= f.NotAfter }
+func (f *Attempt) MayLeave() bool { return f.g.Loop.Now() <= f.NotAfter }
 
 // End tells how it ended, by a result that Heard or the connection tells; nothing after the first time.
-func (f *Forward) End(r control.Result) { f.g.end(f, r) }
+func (f *Attempt) End(r control.Result) { f.g.end(f, r) }
 
 // OrderKind says what an order asks for.
 type OrderKind uint8
@@ -121,13 +121,13 @@
 	OrderHello // its start, which the answer to a probe tells
 )
 
-// Order is a call to a worker that serves no inference.
+// Order is a call to a worker that serves no request.
 type Order struct {
 	Kind   OrderKind
-	W      *Worker
+	Worker *Worker
 	Model  *Model // nil for probes and hellos
 	Copies int
-	Heard  Heard
+	Reply  Reply
 	Call   any // the link's own record
 
 	g     *Gateway
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -32,7 +32,7 @@
 	Told        bool     `json:"told"`            // the decisions know of it
 	Age         *float64 `json:"age_s,omitempty"` // since its start, where told
 	Connections int      `json:"connections"`
-	Queued      int      `json:"queued"` // forwards that wait for a connection
+	Queued      int      `json:"queued"` // attempts that wait for a connection
 	Out         int      `json:"out"`
 	Work        float64  `json:"work_s"`
 	Bad         float64  `json:"bad"`
@@ -41,7 +41,7 @@
 	Warm        []string `json:"warm"`
 }
 
-// HandStatus is one inference in hand.
+// HandStatus is one request in flight.
 type HandStatus struct {
 	Inference string  `json:"inference"`
 	Model     string  `json:"model"`
@@ -62,7 +62,7 @@
 // Status takes a snapshot. On the loop.
 func (g *Gateway) Status() Status {
 	s := Status{Name: g.cfg.Name, Now: g.Loop.Now(), Stopping: g.stopping, Crash: g.exit.Crash, Version: g.Roster.Version,
-		Taken: g.seq, InHand: g.inHand, Connections: g.Loop.Stats.Conns.Load(), Memory: g.front.Held(),
+		Taken: g.seq, InHand: g.inFlight, Connections: g.Loop.Stats.Conns.Load(), Memory: g.front.Held(),
 		Workers: []WorkerStatus{}, Hand: []HandStatus{}}
 	views := map[control.WorkerID]control.WorkerView{}
 	var hand []control.HandView
@@ -94,12 +94,12 @@
 		s.Workers = append(s.Workers, ws)
 	}
 	for _, h := range hand {
-		q := g.find(h.ID)
+		q := g.lookupRequest(h.ID)
 		if q == nil {
 			continue
 		}
 		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.Name, Group: q.group.Name, Age: h.Age, Left: h.Left,
-			Forwards: q.n, Out: h.Out, Why: h.Why}
+			Forwards: q.attempted, Out: h.Out, Why: h.Why}
 		if w := g.workers[h.At]; w != nil {
 			hs.At = w.Name
 		}
@@ -108,12 +108,12 @@
 	return s
 }
 
-// Ready tells whether there is a worker to forward to. On the loop.
+// Ready tells whether there is a worker to attempt to. On the loop.
 func (g *Gateway) Ready() bool { return g.ready() }
 
 // logFinal writes one line for a final answer: each at debug level, one of so many at info level. The time split is
-// in seconds: held until its last forward, connect until that was handed to a connection, worker until the answer.
-func (g *Gateway) logFinal(q *Inference, a answer, now float64) {
+// in seconds: held until its last attempt, connect until that was handed to a connection, worker until the answer.
+func (g *Gateway) logFinal(q *Request, a answer, now float64) {
 	level := zerolog.DebugLevel
 	if n := g.cfg.Log.Sample; n > 0 && q.seq%uint64(n) == 0 {
 		level = zerolog.InfoLevel
@@ -122,18 +122,18 @@
 		return
 	}
 	e := g.log.WithLevel(level).Str("inference", string(g.appendID(nil, q))).Str("model", q.model.Name).
-		Str("group", q.group.Name).Stringer("answer", a).Int("forwards", q.n)
+		Str("group", q.group.Name).Stringer("answer", a).Int("forwards", q.attempted)
 	if q.tenant >= 0 {
 		e = e.Str("tenant", g.cfg.Tenants[q.tenant].Name)
 	}
-	held := now - q.taken
-	if q.n > 0 {
-		f := q.forwards[q.n-1]
-		held = f.made - q.taken
-		e = e.Str("worker", f.W.Name)
-		if at := f.W.link.Handed(f); at > 0 {
+	held := now - q.arrivedAt
+	if q.attempted > 0 {
+		f := q.attempts[q.attempted-1]
+		held = f.made - q.arrivedAt
+		e = e.Str("worker", f.Worker.Name)
+		if at := f.Worker.link.Handed(f); at > 0 {
 			e = e.Float64("connect_s", at-f.made).Float64("worker_s", now-at)
 		}
 	}
-	e.Float64("held_s", held).Float64("total_s", now-q.taken).Msg("final answer")
+	e.Float64("held_s", held).Float64("total_s", now-q.arrivedAt).Msg("final answer")
 }
--- a/internal/gateway/taking.go
+++ b/internal/gateway/taking.go
@@ -8,7 +8,7 @@
 	"mastchute/internal/loop"
 )
 
-// answer is how an inference ended for its client.
+// answer is how a request ended for its client.
 type answer uint8
 
 const (
@@ -21,50 +21,50 @@
 
 func (a answer) String() string { return [...]string{"returned", "shed", "failed", "left"}[a] }
 
-// Inference is one in hand: it lives until its final answer is given and no forward is out.
-type Inference struct {
+// Request is one in flight: it lives until its final answer is given and no attempt is out.
+type Request struct {
 	Client Client // nil once answered, or when the client has left
 
-	id       control.RequestID
-	seq      uint64
-	model    *Model
-	group    *group
-	tenant   int
-	taken    float64
-	notAfter float64
-	n, out   int
-	forwards [mostForwards]*Forward
-	stream   *Forward // the one whose answer goes to the client as it comes
-	final    bool
-	live     bool
-	gen      uint32
-	timer    loop.Timer // the client's time
+	id                 control.RequestID
+	seq                uint64
+	model              *Model
+	group              *group
+	tenant             int
+	arrivedAt          float64
+	notAfter           float64
+	attempted, pending int
+	attempts           [maxAttempts]*Attempt
+	streaming          *Attempt // the one whose answer goes to the client as it comes
+	answered           bool
+	live               bool
+	gen                uint32
+	timer              loop.Timer // the client's time
 }
 
 // Model is the model it asks for, NotAfter the end of the client's time on the loop's clock, Final whether its final
 // answer is given.
-func (q *Inference) Model() *Model     { return q.model }
-func (q *Inference) NotAfter() float64 { return q.notAfter }
-func (q *Inference) Final() bool       { return q.final }
+func (q *Request) Model() *Model     { return q.model }
+func (q *Request) NotAfter() float64 { return q.notAfter }
+func (q *Request) Final() bool       { return q.answered }
 
 // ID names it towards the decisions.
-func (q *Inference) ID() control.RequestID { return q.id }
+func (q *Request) ID() control.RequestID { return q.id }
 
 // Tenant is the number of its tenant in the settings, -1 where none is told.
-func (q *Inference) Tenant() int { return q.tenant }
+func (q *Request) Tenant() int { return q.tenant }
 
-// InHand is how many inferences are in hand.
-func (g *Gateway) InHand() int { return g.inHand }
+// InFlight is how many requests are in flight.
+func (g *Gateway) InFlight() int { return g.inFlight }
 
-// Serving tells whether inferences are taken: not while stopping, nor after the decisions failed.
+// Serving tells whether requests are taken: not while stopping, nor after the decisions failed.
 func (g *Gateway) Serving() bool { return !g.stopping && g.module != nil }
 
-// Take takes an inference: from here on its client is owed one final answer. in says what the client told and the model's
+// Accept takes a request: from here on its client is owed one final answer. in says what the client told and the model's
 // group; tenant is -1 where none is told.
-func (g *Gateway) Take(c Client, m *Model, tenant int, in control.Request) *Inference {
+func (g *Gateway) Accept(c Client, m *Model, tenant int, in control.Request) *Request {
 	now := g.Loop.Now()
-	q := g.take()
-	q.Client, q.model, q.group, q.taken, q.tenant = c, m, g.groups[in.Group], now, tenant
+	q := g.acquire()
+	q.Client, q.model, q.group, q.arrivedAt, q.tenant = c, m, g.groups[in.Group], now, tenant
 	m.refs++
 	span := math.Min(q.group.Timeout.Seconds, in.NotAfter-now)
 	q.notAfter = now + span
@@ -75,18 +75,18 @@
 	q.group.meter.taken.Inc()
 	g.Loop.Start(&q.timer, span)
 	g.begin()
-	g.inference(&in)
+	g.request(&in)
 	return q
 }
 
-// Left tells that the client has gone, or has taken the inference back: nobody is to be answered.
-func (g *Gateway) Left(q *Inference) {
-	if q == nil || !q.live || q.final {
+// Left tells that the client has gone, or has taken the request back: nobody is to be answered.
+func (g *Gateway) Left(q *Request) {
+	if q == nil || !q.live || q.answered {
 		return
 	}
 	q.Client = nil
 	g.close(q, answerLeft)
-	if s := q.stream; s != nil {
+	if s := q.streaming; s != nil {
 		g.end(s, control.Cancelled)
 	}
 	g.begin()
@@ -95,60 +95,60 @@
 	}
 }
 
-// take takes a place in the slab.
-func (g *Gateway) take() *Inference {
+// acquire takes a slot of the request table.
+func (g *Gateway) acquire() *Request {
 	if len(g.free) == 0 {
-		q := &Inference{}
+		q := &Request{}
 		q.timer.Fire = func() { g.timeUp(q) }
-		g.slab = append(g.slab, q)
-		g.free = append(g.free, int32(len(g.slab)-1))
+		g.requests = append(g.requests, q)
+		g.free = append(g.free, int32(len(g.requests)-1))
 	}
 	i := g.free[len(g.free)-1]
 	g.free = g.free[:len(g.free)-1]
-	q := g.slab[i]
+	q := g.requests[i]
 	g.seq++
 	timer, gen := q.timer, q.gen+1
-	*q = Inference{timer: timer, gen: gen, live: true, seq: g.seq}
+	*q = Request{timer: timer, gen: gen, live: true, seq: g.seq}
 	q.id = control.RequestID(uint32(i) | gen<<slotBits)
-	g.inHand++
+	g.inFlight++
 	return q
 }
 
-// find returns an inference in hand, nil when it has ended.
-func (g *Gateway) find(id control.RequestID) *Inference {
-	if i := int(id & (1<<slotBits - 1)); i < len(g.slab) {
-		if q := g.slab[i]; q.live && q.id == id {
+// lookupRequest returns a request in flight, nil when it has ended.
+func (g *Gateway) lookupRequest(id control.RequestID) *Request {
+	if i := int(id & (1<<slotBits - 1)); i < len(g.requests) {
+		if q := g.requests[i]; q.live && q.id == id {
 			return q
 		}
 	}
 	return nil
 }
 
-// letGo frees the place once the final answer is given and no forward is out.
-func (g *Gateway) letGo(q *Inference) {
-	if !q.live || !q.final || q.out > 0 {
+// release frees the slot once the final answer is given and no attempt is out.
+func (g *Gateway) release(q *Request) {
+	if !q.live || !q.answered || q.pending > 0 {
 		return
 	}
-	for i := range q.forwards[:q.n] {
-		f := q.forwards[i]
-		q.forwards[i] = nil
-		g.putForward(f)
+	for i := range q.attempts[:q.attempted] {
+		f := q.attempts[i]
+		q.attempts[i] = nil
+		g.putAttempt(f)
 	}
 	g.Loop.Cancel(&q.timer)
 	q.live = false
 	q.model.refs--
 	q.model = nil
 	g.free = append(g.free, int32(q.id&(1<<slotBits-1)))
-	g.inHand--
+	g.inFlight--
 }
 
 // timeUp guards rule 1: the decisions answer before the client's time; where they have not, this does. Whatever is
 // still out then has timed out.
-func (g *Gateway) timeUp(q *Inference) {
-	if !q.live || q.stream != nil {
+func (g *Gateway) timeUp(q *Request) {
+	if !q.live || q.streaming != nil {
 		return
 	}
-	if !q.final {
+	if !q.answered {
 		g.Metrics.guard("late")
 		g.fail(q, true, "the time is up")
 		g.begin()
@@ -156,18 +156,18 @@
 			g.guard(func() { g.module.Withdrawn(q.id) })
 		}
 	}
-	for _, f := range q.forwards[:q.n] {
+	for _, f := range q.attempts[:q.attempted] {
 		g.end(f, control.TimedOut)
 	}
 }
 
-// letDown gives the final answer at a stop: shed where trying again is harmless, as no forward has run or may or the model
+// answerAtStop gives the final answer at a stop: shed where trying again is harmless, as no attempt has run or may or the model
 // group is retriable, else failed.
-func (g *Gateway) letDown(q *Inference, why string) {
-	harmless := q.stream == nil
+func (g *Gateway) answerAtStop(q *Request, why string) {
+	harmless := q.streaming == nil
 	if q.group.Effect != "retriable" {
-		for _, f := range q.forwards[:q.n] {
-			harmless = harmless && (f.done && f.result.NeverRan() || !f.done && !f.W.link.Whole(f))
+		for _, f := range q.attempts[:q.attempted] {
+			harmless = harmless && (f.done && f.result.NeverRan() || !f.done && !f.Worker.link.Whole(f))
 		}
 	}
 	if !harmless {
@@ -178,18 +178,18 @@
 }
 
 // fail gives the final answer that promises nothing.
-func (g *Gateway) fail(q *Inference, late bool, why string) {
+func (g *Gateway) fail(q *Request, late bool, why string) {
 	if c := g.final(q, answerFailed); c != nil {
 		c.Failed(q, late, why)
-		if q.stream != nil { // it had begun: it was cut off
-			g.end(q.stream, control.Cancelled)
+		if q.streaming != nil { // it had begun: it was cut off
+			g.end(q.streaming, control.Cancelled)
 		}
 	}
 }
 
 // final books a final answer of our own, and returns the client to give it to.
-func (g *Gateway) final(q *Inference, a answer) Client {
-	if q.final {
+func (g *Gateway) final(q *Request, a answer) Client {
+	if q.answered {
 		g.Metrics.guard("second_answer")
 		return nil
 	}
@@ -199,19 +199,19 @@
 	return c
 }
 
-func (g *Gateway) appendID(b []byte, q *Inference) []byte {
+func (g *Gateway) appendID(b []byte, q *Request) []byte {
 	b = append(b, g.name...)
 	return strconv.AppendUint(b, q.seq, 10)
 }
 
 // close books the final answer. Rule 1: whatever has not been sent by now never is.
-func (g *Gateway) close(q *Inference, a answer) {
-	q.final = true
+func (g *Gateway) close(q *Request, a answer) {
+	q.answered = true
 	now := g.Loop.Now()
-	q.group.meter.final(a, now-q.taken)
+	q.group.meter.final(a, now-q.arrivedAt)
 	g.logFinal(q, a, now)
-	for _, f := range q.forwards[:q.n] {
-		if !f.done && !f.W.link.Whole(f) {
+	for _, f := range q.attempts[:q.attempted] {
+		if !f.done && !f.Worker.link.Whole(f) {
 			g.end(f, control.Cancelled)
 		}
 	}
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -1,5 +1,5 @@
 // Package h1 joins the loop and the codec: HTTP/1.1 connections, the server's side and the client's. It moves
-// messages and knows nothing of inferences. All of it runs on the loop.
+// messages and knows nothing of requests. All of it runs on the loop.
 package h1
 
 import (
@@ -91,7 +91,7 @@
 // Conns is how many connections are open.
 func (v *Server) Conns() int { return len(v.conns) }
 
-// Drain stops accepting, closes idle connections, and closes the others after the answer in hand.
+// Drain stops accepting, closes idle connections, and closes the others after the answer in flight.
 func (v *Server) Drain() {
 	v.draining = true
 	v.listener.Close()
@@ -103,7 +103,7 @@
 	}
 }
 
-// Close resets everything now; Service hears Left for what was in hand.
+// Close resets everything now; Service hears Left for what was in flight.
 func (v *Server) Close() {
 	v.listener.Close()
 	for c := range v.conns {
@@ -123,7 +123,7 @@
 	return c
 }
 
-// serverConn is one connection; it has an exchange only while a request is in hand.
+// serverConn is one connection; it has an exchange only while a request is in flight.
 type serverConn struct {
 	v      *Server
 	conn   *loop.Conn
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -121,7 +121,7 @@
 		return control.Full, true
 	case "crashed", "red":
 		return control.Errored, true
-	case "nobody": // the inference was over already: it never ran
+	case "nobody": // the request was over already: it never ran
 		return control.NotSent, true
 	}
 	return 0, false
@@ -201,7 +201,7 @@
 	return len(names)
 }
 
-// AppendForward appends a forward; timeout is in milliseconds, mark may be empty.
+// AppendForward appends an attempt; timeout is in milliseconds, mark may be empty.
 func AppendForward(b, id, group, model, mark []byte, timeoutMS int64, body []byte) []byte {
 	b = append(b, "invoke "...)
 	b = append(b, id...)
@@ -222,7 +222,7 @@
 	return append(b, "\r\n"...)
 }
 
-// AppendCancel appends that a forward is given up; no answer comes.
+// AppendCancel appends that an attempt is given up; no answer comes.
 func AppendCancel(b, id []byte) []byte {
 	b = append(b, "abort "...)
 	b = append(b, id...)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -155,7 +155,7 @@
 // Close gives back the descriptors of a loop that never ran.
 func (l *Loop) Close() { l.close() }
 
-// Stop ends Run after the turn in hand. Safe from any goroutine.
+// Stop ends Run after the turn in flight. Safe from any goroutine.
 func (l *Loop) Stop() { l.Post(func() { l.stopped = true }) }
 
 // Run turns until Stop. It locks its goroutine to a thread and closes every descriptor of the loop at the end.
--- a/internal/platform/alloc_test.go
+++ b/internal/platform/alloc_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// TestOrdinaryPathAllocatesNothing runs inferences through client, dispatcher and worker, and reads the allocator's count.
+// TestOrdinaryPathAllocatesNothing runs requests through client, dispatcher and worker, and reads the allocator's count.
 // The client and the worker of this test work on buffers of their own.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	if raceOn {
@@ -68,7 +68,7 @@
 	}
 }
 
-// answerAll serves each forward on a connection. It looks for lines only, as the bodies here hold none.
+// answerAll serves each attempt on a connection. It looks for lines only, as the bodies here hold none.
 func answerAll(c net.Conn) {
 	in, out, have := make([]byte, 64<<10), make([]byte, 0, 4096), 0
 	for {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	openMost     = 32        // inferences open on one connection: the protocol's
+	openMost     = 32        // requests open on one connection: the protocol's
 	silentMost   = 1.5       // s a connection may say nothing at all: clients connect when they have something to send
 	partMost     = 1.0       // s a message may take to come in whole: one write at the client's
 	idleMost     = 20.0      // s between messages: clients close after a few
 	faultsMost   = 4         // messages that can't be used, then the connection is closed: it would go on for ever
 	unreadMost   = 512 << 10 // bytes of answers that may wait for a client that does not read
 	keptBody     = 4 << 10   // bytes of a body for which a record is kept
-	keptCalls    = 256       // records kept for the next inferences
+	keptCalls    = 256       // records kept for the next requests
 	roomTries    = 4         // connections looked at for one that is idle, for each new one
 	drainQuiet   = 0.06      // s without a byte before idle connections are closed while draining: what crosses is sent again for 50 ms
 	retryInstead = 0.25      // s told with a refusal of our own: about when there may be room
@@ -34,7 +34,7 @@
 	deduped  []bool // by model group
 	back     bool   // clients may be told when to come back
 	most     int    // client connections
-	inHand   int    // inferences
+	inHand   int    // requests
 	bodies   int64  // bytes of bodies held, and at most
 	bodyMost int64
 	oldest   clientConn // the ring of connections: next is the one heard of longest ago
@@ -43,13 +43,13 @@
 	free     []*call
 	scratch  []byte
 	draining bool
-	quiet    loop.Timer // while draining: since nothing was in hand or came in
+	quiet    loop.Timer // while draining: since nothing was in flight or came in
 	leaving  bool       // told to stop: nobody is to be sent here any more
 	refused  map[string]int
 	workers  workers
 }
 
-// id is an inference's, as its client named it.
+// id is a request's, as its client named it.
 type id [16]byte
 
 // clientConn is one connection of a client. Idle it holds no buffers.
@@ -67,10 +67,10 @@
 	prev, next *clientConn
 }
 
-// call is one inference as its client sent it. It implements gateway.Client.
+// call is one request as its client sent it. It implements gateway.Client.
 type call struct {
 	c     *clientConn
-	q     *gateway.Inference
+	q     *gateway.Request
 	next  *call // on the same connection
 	seq   int32
 	id    id
@@ -102,14 +102,14 @@
 }
 
 // Drain implements gateway.Front: connection draining. All that is still sent is answered, so connections stay open until
-// nothing has been in hand and nothing has come in for a while; only then are they closed.
+// nothing has been in flight and nothing has come in for a while; only then are they closed.
 func (p *front) Drain() {
 	p.draining = true
 	p.listener.Drain()
 	p.drained()
 }
 
-// drained waits for quiet where nothing is in hand while draining.
+// drained waits for quiet where nothing is in flight while draining.
 func (p *front) drained() {
 	if p.draining && len(p.open) == 0 {
 		p.l.Start(&p.quiet, drainQuiet)
@@ -376,7 +376,7 @@
 	}
 }
 
-// infer takes an inference, or refuses it before it is taken.
+// infer takes a request, or refuses it before it is taken.
 func (c *clientConn) infer(m *thrift.Call) {
 	p := c.p
 	group, ok := p.groups[string(m.Group)]
@@ -399,7 +399,7 @@
 		c.bad("id_in_use", m.Seq, "an inference with this id is open")
 		return
 	}
-	if !p.g.Serving() || p.g.InHand() >= p.inHand || p.bodies+int64(len(m.Body)) > p.bodyMost {
+	if !p.g.Serving() || p.g.InFlight() >= p.inHand || p.bodies+int64(len(m.Body)) > p.bodyMost {
 		p.refuse("full")
 		c.write(thrift.AppendShed(p.scratch[:0], m.Seq, p.pause(retryInstead)))
 		return
@@ -424,7 +424,7 @@
 	if !ok {
 		tenant = -1
 	}
-	k.q = p.g.Take(k, model, tenant, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
+	k.q = p.g.Accept(k, model, tenant, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
 		Work: m.Work, Load: m.Load, NotAfter: p.l.Now() + m.Timeout, Repeat: m.Repeat})
 }
 
@@ -489,19 +489,19 @@
 }
 
 // Returned implements gateway.Client.
-func (k *call) Returned(_ *gateway.Inference, f *gateway.Forward) {
+func (k *call) Returned(_ *gateway.Request, f *gateway.Attempt) {
 	k.c.write(thrift.AppendReturned(k.c.p.scratch[:0], k.seq, f.Body))
 	k.release()
 }
 
 // Shed implements gateway.Client.
-func (k *call) Shed(_ *gateway.Inference, retryAfter float64) {
+func (k *call) Shed(_ *gateway.Request, retryAfter float64) {
 	k.c.write(thrift.AppendShed(k.c.p.scratch[:0], k.seq, k.c.p.pause(retryAfter)))
 	k.release()
 }
 
 // Failed implements gateway.Client.
-func (k *call) Failed(_ *gateway.Inference, _ bool, why string) {
+func (k *call) Failed(_ *gateway.Request, _ bool, why string) {
 	k.c.write(thrift.AppendFailed(k.c.p.scratch[:0], k.seq, why))
 	k.release()
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -1,6 +1,6 @@
 // Package platform runs a dispatcher on the operators' platform: its clients, its connections to workers, the change log,
 // the configuration file and the signals. It is one more way in and out of the host in internal/gateway, on the project's
-// own loop, and decides nothing about inferences.
+// own loop, and decides nothing about requests.
 package platform
 
 import (
@@ -25,14 +25,14 @@
 	reservedClients = 3       // of them, for clients' connections that linger for their last answer
 	clientParts     = 2       // clients get one part in so many of the descriptors: one in three is the platform's promise
 	heapShare       = 0.55    // of the memory limit that Go may fill before it collects all the time; the rest is the program
-	bodyShare       = 0.25    // of the memory limit that bodies in hand may take
-	eachInHand      = 6 << 10 // bytes that an inference in hand takes beside its body
-	handShare       = 0.15    // of the memory limit that inferences in hand may take so
+	bodyShare       = 0.25    // of the memory limit that bodies in flight may take
+	eachInHand      = 6 << 10 // bytes that a request in flight takes beside its body
+	handShare       = 0.15    // of the memory limit that requests in flight may take so
 	eachModel       = 1 << 10 // bytes that a model in use takes, here and in the decisions
 	modelShare      = 0.1     // of the memory limit that models may take
 	mostOf          = 1e9     // a larger number in the settings is a mistake
-	openUsual       = 20000   // inferences in hand where the settings tell nothing
-	streamsUsual    = 32      // forwards on a connection where the settings tell nothing
+	openUsual       = 20000   // requests in flight where the settings tell nothing
+	streamsUsual    = 32      // attempts on a connection where the settings tell nothing
 )
 
 // File is the configuration that the platform hands to a dispatcher.
--- a/internal/platform/late_test.go
+++ b/internal/platform/late_test.go
@@ -51,7 +51,7 @@
 			turn()
 			for c := range r.d.front.workers.conns {
 				for _, s := range c.l.queue {
-					if s.f != nil && s.f.N > 0 {
+					if s.f != nil && s.f.Index > 0 {
 						f(s)
 					}
 				}
@@ -60,7 +60,7 @@
 	})
 }
 
-// A repeat of a deduplicated inference whose window ends while it waits for its connection never leaves, and the first
+// A repeat of a deduplicated request whose window ends while it waits for its connection never leaves, and the first
 // that may have run is what the window counts from.
 func TestNoRepeatLeavesAfterItsWindow(t *testing.T) {
 	w := newWorker(t, "w1", reset, fine)
@@ -183,7 +183,7 @@
 	}
 }
 
-// A flood of inferences that are taken back at once leaves nothing behind, and others are served meanwhile.
+// A flood of requests that are taken back at once leaves nothing behind, and others are served meanwhile.
 func TestFloodOfCancels(t *testing.T) {
 	w := newWorker(t, "w1", func(c net.Conn, m seen) {
 		if m.body != "flood" {
@@ -240,7 +240,7 @@
 	answers, waiting := 0, 0
 	for ; waiting == 0 && answers < 500; answers++ {
 		slow.send("read", "in")
-		r.until("it is answered", func() bool { waiting = half(); return r.d.Gateway.InHand() == 0 })
+		r.until("it is answered", func() bool { waiting = half(); return r.d.Gateway.InFlight() == 0 })
 	}
 	if waiting == 0 {
 		t.Fatal("the kernel takes all")
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -51,7 +51,7 @@
 	})
 }
 
-// Answers come in any order, 32 inferences are open at once, and one that is taken back is owed nothing.
+// Answers come in any order, 32 requests are open at once, and one that is taken back is owed nothing.
 func TestOneConnectionCarriesMany(t *testing.T) {
 	held := make(chan seen, 64)
 	w := newWorker(t, "w1", func(_ net.Conn, m seen) { held <- m })
@@ -62,12 +62,12 @@
 		all = append(all, request(seq, "read", fmt.Sprint(seq))...)
 	}
 	c.Write(all)
-	r.until("all are in hand", func() bool { return r.d.Gateway.InHand() == openMost })
+	r.until("all are in hand", func() bool { return r.d.Gateway.InFlight() == openMost })
 	first := <-held
 	var seq int32
 	fmt.Sscan(first.body, &seq)
 	c.Write(frame(thrifttest.Cancel(seq)))
-	r.until("it is given up", func() bool { return r.d.Gateway.InHand() < openMost })
+	r.until("it is given up", func() bool { return r.d.Gateway.InFlight() < openMost })
 	for len(w.seen("abort")) == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -94,7 +94,7 @@
 	<-done
 }
 
-// What each way of failing proves, by whether a non-retriable inference goes to the other worker.
+// What each way of failing proves, by whether a non-retriable request goes to the other worker.
 func TestWhatProvesThatNothingRan(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -175,7 +175,7 @@
 			t.Errorf("%+v", a)
 		}
 	}
-	r.until("the others are left", func() bool { return r.d.Gateway.InHand() == 3-n })
+	r.until("the others are left", func() bool { return r.d.Gateway.InFlight() == 3-n })
 }
 
 // Rule 1: silence costs the client no more than its time, counted from when its message was read.
@@ -197,7 +197,7 @@
 func TestNothingLeavesForADrainedWorker(t *testing.T) {
 	a, b := newWorker(t, "w1", fine), newWorker(t, "w2", fine)
 	r := newRig(t, "load", a)
-	r.on(func() { // w1 drains in the very turn in which the forward is queued for its connection
+	r.on(func() { // w1 drains in the very turn in which the attempt is queued for its connection
 		turn, done := r.d.Loop.OnTurn, false
 		r.d.Loop.OnTurn = func() {
 			turn()
@@ -224,7 +224,7 @@
 	return e
 }
 
-// A miss brings one load order, of a model that a client has asked for, and the forward again.
+// A miss brings one load order, of a model that a client has asked for, and the attempt again.
 func TestMissOrdersALoad(t *testing.T) {
 	w := newWorker(t, "w1", reply("not_here", "-", ""), fine)
 	r := newRig(t, "miss", w)
--- a/internal/platform/races_test.go
+++ b/internal/platform/races_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// crossing has one inference come in and something happen to it at an exact place of the loop's turn: after its forward
+// crossing has one request come in and something happen to it at an exact place of the loop's turn: after its attempt
 // was queued, in the turn in which the connection is begun (up false), or behind its bytes in the buffer of a connection
 // that is up, before they are flushed (up true).
 func (r *rig) crossing(c *client, group string, up bool, then func(k *call)) {
@@ -27,7 +27,7 @@
 		}
 		l.OnTurn = func() {
 			l.OnTurn = turn
-			turn() // the decisions ask for the forward, and the link's pump is due
+			turn() // the decisions ask for the attempt, and the link's pump is due
 			act := func() { then(k); close(done) }
 			if up {
 				l.Later(act) // between the pump's write and the flush
@@ -39,7 +39,7 @@
 	<-done
 }
 
-// A forward that has not left never does, whoever calls it off, wherever it waits.
+// An attempt that has not left never does, whoever calls it off, wherever it waits.
 func TestWhatIsCalledOffNeverLeaves(t *testing.T) {
 	for name, off := range map[string]func(r *rig, k *call, w *scripted){
 		"the client closes":  func(_ *rig, k *call, _ *scripted) { c := k.c; c.conn.Close(); c.Closed(nil, io.EOF) },
@@ -72,7 +72,7 @@
 							return false
 						}
 					}
-					return r.d.Gateway.InHand() == 0 || name != "the client closes"
+					return r.d.Gateway.InFlight() == 0 || name != "the client closes"
 				})
 				// The worker reads in order: what had left before a probe on the same connections is there before its answer.
 				probes := 0
@@ -105,7 +105,7 @@
 	return c
 }
 
-// An answer and the worker's close in one read: the answer counts, and the close is no failure of the inference.
+// An answer and the worker's close in one read: the answer counts, and the close is no failure of the request.
 func TestAnswerAndCloseInOneRead(t *testing.T) {
 	w := newWorker(t, "w1", func(c net.Conn, m seen) { fine(c, m); c.Close() })
 	r := newRig(t, "load", w)
@@ -118,7 +118,7 @@
 	}
 }
 
-// A client that half-closes after other bytes has gone: what it asked in them is not forwarded further.
+// A client that half-closes after other bytes has gone: what it asked in them is not sent on further.
 func TestLeavingBehindOtherBytes(t *testing.T) {
 	full := func(c net.Conn, m seen) { reply("overload", "-", "")(c, m) }
 	w := newWorker(t, "w1", silent, full)
@@ -167,7 +167,7 @@
 	}
 }
 
-// A forward that waits for a descriptor goes out as soon as another connection is idle, and not only with the next one.
+// An attempt that waits for a descriptor goes out as soon as another connection is idle, and not only with the next one.
 func TestWaitingForADescriptor(t *testing.T) {
 	workers := []*scripted{newWorker(t, "w1", silent), newWorker(t, "w2", silent)}
 	r := newRig(t, "load", workers...)
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -45,7 +45,7 @@
 	r.d.ended <- nil
 }
 
-// answerInHand ends the forward of the inference in hand as served, as its worker's answer would.
+// answerInHand ends the attempt of the request in flight as served, as its worker's answer would.
 func (r *rig) answerInHand() {
 	for _, k := range r.d.front.open {
 		for c := range r.d.front.workers.conns {
@@ -147,7 +147,7 @@
 	r.ended()
 }
 
-// Before the platform's kill all in hand has its final answer: shed where it was never forwarded, failed where it may
+// Before the platform's kill all in flight has its final answer: shed where it was never sent on, failed where it may
 // have run.
 func TestStopAnswersBeforeTheKill(t *testing.T) {
 	w := newWorker(t, "w1", silent)
@@ -160,7 +160,7 @@
 	r.log.add(false, w.member("leaving", 0)) // no worker is left to take another
 	r.until("it is told", func() bool { return !r.d.Gateway.Ready() })
 	held.send("once", "in", "patience=60000")
-	r.until("both are in hand", func() bool { return r.d.Gateway.InHand() == 2 })
+	r.until("both are in hand", func() bool { return r.d.Gateway.InFlight() == 2 })
 	r.on(func() { r.d.Stop() })
 	r.on(func() { r.d.stop.Fire(); r.d.Gateway.Stop(0) })
 	for timeout, kill := range map[float64]float64{0.5: 1.2, 3: 3.7, 9: 3.7} { // the platform's, after SIGTERM
@@ -354,7 +354,7 @@
 	c := r.dial()
 	c.send("read", "in", "customer=town-library", "redo=1")
 	c.send("read", "in", "customer=nobody")
-	r.until("both are in hand", func() bool { return r.d.Gateway.InHand() == 2 })
+	r.until("both are in hand", func() bool { return r.d.Gateway.InFlight() == 2 })
 	r.on(func() {
 		for _, k := range r.d.front.open {
 			if want := map[int32]int{1: 2, 2: -1}[k.seq]; k.q.Tenant() != want {
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -57,7 +57,7 @@
 	return func(w net.Conn, m seen) { io.WriteString(w, strings.ReplaceAll(text, "ID", m.id)) }
 }
 
-// scripted is a worker that follows a script for its forwards; the last act repeats.
+// scripted is a worker that follows a script for its attempts; the last act repeats.
 type scripted struct {
 	id    string
 	ln    net.Listener
@@ -363,7 +363,7 @@
 	return "not good"
 }
 
-// ask sends one inference on a connection of its own and returns how it ended.
+// ask sends one request on a connection of its own and returns how it ended.
 func (r *rig) ask(group string, changes ...string) (string, thrifttest.Answer) {
 	r.t.Helper()
 	c := r.dial()
@@ -393,11 +393,11 @@
 	return n
 }
 
-// idle waits until nothing is in hand or held.
+// idle waits until nothing is in flight or held.
 func (r *rig) idle() {
 	r.t.Helper()
 	r.until("nothing is in hand", func() bool {
 		p := r.d.front
-		return r.d.Gateway.InHand() == 0 && p.bodies == 0 && len(p.open) == 0
+		return r.d.Gateway.InFlight() == 0 && p.bodies == 0 && len(p.open) == 0
 	})
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -110,13 +110,13 @@
 	d.feed.follow(f.changeLog)
 }
 
-// Stop goes on for a while, then answers what is in hand and ends the loop.
+// Stop goes on for a while, then answers what is in flight and ends the loop.
 func (d *Dispatcher) Stop() {
 	if d.front.leaving {
 		return
 	}
 	d.front.leaving = true
-	d.log.Info().Int("in_hand", d.Gateway.InHand()).Msg("told to stop")
+	d.log.Info().Int("in_hand", d.Gateway.InFlight()).Msg("told to stop")
 	d.Loop.Start(&d.stop, stopServe)
 }
 
@@ -138,7 +138,7 @@
 	}
 }
 
-// stopGrace is how long what is in hand may go on once nothing new is taken: it must end before the platform's kill.
+// stopGrace is how long what is in flight may go on once nothing new is taken: it must end before the platform's kill.
 func stopGrace(timeout float64) float64 {
 	return math.Min(timeout, stopLong) + stopKill - stopServe - stopSlack
 }
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -15,8 +15,8 @@
 const (
 	connsMost  = 4        // connections to a worker, where descriptors allow: what is spoilt on one spares the others
 	partAnswer = 0.3      // s an answer that has begun may stand still: workers write one at once
-	spareLeast = 3        // forwards that each connection to a worker carries before another is opened: handshakes are paid for
-	idleShare  = 0.85     // of the worker's idle time after which we close: what it closes itself may cross with a forward
+	spareLeast = 3        // attempts that each connection to a worker carries before another is opened: handshakes are paid for
+	idleShare  = 0.85     // of the worker's idle time after which we close: what it closes itself may cross with an attempt
 	waitMost   = 64 << 10 // bytes that may wait on a connection before others are used or awaited
 )
 
@@ -53,9 +53,9 @@
 	pumpFn func()
 }
 
-// sent is the record of one forward or order on its way. It stays with its forward or order.
+// sent is the record of one attempt or order on its way. It stays with its attempt or order.
 type sent struct {
-	f        *gateway.Forward
+	f        *gateway.Attempt
 	o        *gateway.Order
 	l        *link
 	c        *workerConn // nil until written
@@ -66,7 +66,7 @@
 	handed   float64 // when it was written to the connection
 }
 
-// workerConn is one connection to a worker. It carries many forwards.
+// workerConn is one connection to a worker. It carries many attempts.
 type workerConn struct {
 	l     *link
 	conn  *loop.Conn
@@ -94,11 +94,11 @@
 	return r
 }
 
-// Forward implements gateway.Link.
-func (l *link) Forward(f *gateway.Forward) {
+// Send implements gateway.Link.
+func (l *link) Send(f *gateway.Attempt) {
 	r := l.record(&f.Call)
 	r.f = f
-	r.n = copy(r.name[:], f.Q.Client.(*call).id[:])
+	r.n = copy(r.name[:], f.Request.Client.(*call).id[:])
 	l.enqueue(r)
 }
 
@@ -215,9 +215,9 @@
 	answered := true
 	switch {
 	case r.f != nil:
-		k := r.f.Q.Client.(*call)
-		left := math.Max(1, math.Floor((r.f.Q.NotAfter()-p.l.Now())*1e3))
-		b = lines.AppendForward(b, name, k.group, []byte(r.f.Q.Model().Name), k.mark, int64(left), k.body)
+		k := r.f.Request.Client.(*call)
+		left := math.Max(1, math.Floor((r.f.Request.NotAfter()-p.l.Now())*1e3))
+		b = lines.AppendForward(b, name, k.group, []byte(r.f.Request.Model().Name), k.mark, int64(left), k.body)
 	case r.o.Kind == gateway.OrderLoad:
 		b = lines.AppendLoad(b, name, r.o.Model.Name, r.o.Copies)
 	case r.o.Kind == gateway.OrderUnload:
@@ -385,14 +385,14 @@
 		if len(c.l.queue) > 0 {
 			c.l.mark()
 		}
-		h := gateway.Heard{Result: a.Result, Found: a.Found, Crowd: -1, Copies: a.Copies}
+		h := gateway.Reply{Result: a.Result, Found: a.Found, Crowd: -1, Copies: a.Copies}
 		h.Fields = lines.ReadReport(a.Report, c.l.s.report, h.Report[:], thrift.Decimal)
 		if r.f != nil {
-			r.f.Heard = h
+			r.f.Reply = h
 			r.f.Body = append(r.f.Body[:0], a.Body...)
 			r.f.End(a.Result)
 		} else {
-			r.o.Heard = h
+			r.o.Reply = h
 			r.o.End(a.Result)
 		}
 		return
@@ -451,7 +451,7 @@
 }
 
 // Cancel implements gateway.Link.
-func (l *link) Cancel(f *gateway.Forward) {
+func (l *link) Cancel(f *gateway.Attempt) {
 	r, _ := f.Call.(*sent)
 	r.drop()
 }
@@ -466,7 +466,7 @@
 func (r *sent) left() bool { return r != nil && !r.queued && (r.c == nil || r.c.conn.Sent() > r.from) }
 
 // Handed implements gateway.Link.
-func (l *link) Handed(f *gateway.Forward) float64 {
+func (l *link) Handed(f *gateway.Attempt) float64 {
 	if r, _ := f.Call.(*sent); r.left() {
 		return r.handed
 	}
@@ -474,7 +474,7 @@
 }
 
 // Whole implements gateway.Link.
-func (l *link) Whole(f *gateway.Forward) bool {
+func (l *link) Whole(f *gateway.Attempt) bool {
 	r, _ := f.Call.(*sent)
 	return r.left()
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -294,7 +294,7 @@
 	greetMost  = 2.0 // s, the most between two: cold workers warm up over seconds
 )
 
-// Sent notes that a forward or an order goes out.
+// Sent notes that an attempt or an order goes out.
 func (g *Greeting) Sent() { g.sent = true }
 
 // Lost notes that a connection ended from the worker's side, and tells whether to ask it now.
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -35,10 +35,10 @@
 	Target int32 // Cancel: the number of the call taken back
 	Fault  error
 
-	ID       []byte  // of the inference, 16 hex digits
+	ID       []byte  // of the request, 16 hex digits
 	Group    []byte  // model group
 	Model    []byte  // 16 hex digits
-	Mark     []byte  // what repeats of the inference share; empty where not told
+	Mark     []byte  // what repeats of the request share; empty where not told
 	Tenant   []byte  // empty where not told
 	Repeat   bool    // the client asked before
 	Timeout  float64 // s from when it was sent
@@ -357,7 +357,7 @@
 	return end(append(b, typeStop, typeStop), at)
 }
 
-// AppendFailed appends that an inference failed.
+// AppendFailed appends that a request failed.
 func AppendFailed(b []byte, seq int32, why string) []byte {
 	b, at := begin(b, verbInfer, KindReply, seq)
 	b = appendField(b, typeStruct, 2)
