Membership: the roster package and type have the field's name

internal/roster -> internal/membership, roster.Roster -> membership.List, and what refers to them; the YAML key roster stays.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,7 +15,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/gateway"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 const askTimeout = 2 * time.Second // for the loop to answer; past that it is not well
@@ -110,7 +110,7 @@
 		http.Error(w, "not understood: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	e := roster.Entry{Name: in.Name, Zone: in.Zone, Cell: in.Cell, Kind: in.Kind, Weight: in.Weight}
+	e := membership.Entry{Name: in.Name, Zone: in.Zone, Cell: in.Cell, Kind: in.Kind, Weight: in.Weight}
 	switch in.State {
 	case "ready":
 		e.State = control.Ready
@@ -137,9 +137,9 @@
 	}
 	v, err := ask(r.Context(), a, func() (v result) {
 		if v.err = a.g.Rule(e); v.err == nil {
-			v.state = a.g.Roster.Named(e.Name).StateName() // a stricter word of another source holds
+			v.state = a.g.Members.Named(e.Name).StateName() // a stricter word of another source holds
 		}
-		v.version = a.g.Roster.Version
+		v.version = a.g.Members.Version
 		return v
 	})
 	if err != nil {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -19,7 +19,7 @@
 	"mastchute/internal/config"
 	"mastchute/internal/gateway"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 // The exit codes of the program.
@@ -178,7 +178,7 @@
 	w.file = n.Roster.File
 	d.log.Info().Strs("need_restart", d.cfg.Changed(n)).Msg("settings reloaded: workers, models, log level and sample, roster file")
 	d.Loop.Post(func() {
-		if err := d.Gateway.Replace(roster.Config, list); err != nil {
+		if err := d.Gateway.Replace(membership.Config, list); err != nil {
 			log.Error().Err(err).Msg("workers not taken")
 		}
 		d.Gateway.SetModels(n.Models)
@@ -208,11 +208,11 @@
 		}
 		var list []config.Worker
 		if list, err = config.ParseWorkers(w.file, text); err == nil {
-			var entries []roster.Entry
+			var entries []membership.Entry
 			if entries, err = gateway.Entries(list); err == nil {
 				w.last, w.bad = sum, ""
 				w.d.Loop.Post(func() {
-					if err := w.d.Gateway.Replace(roster.File, entries); err != nil {
+					if err := w.d.Gateway.Replace(membership.File, entries); err != nil {
 						w.d.Gateway.ListFailed(err)
 					}
 				})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,7 +5,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 // ending is an outcome to be told to the decisions; f nil: only lets the request's place go.
@@ -237,7 +237,7 @@
 	if epoch <= 0 || epoch == w.Worker.Epoch || w.Told {
 		return
 	}
-	if start := epoch - g.epoch; g.Roster.Started(w.Worker, epoch, start, g.Loop.Now()) && w.told {
+	if start := epoch - g.epoch; g.Members.Started(w.Worker, epoch, start, g.Loop.Now()) && w.told {
 		g.log.Info().Str("worker", w.Name).Float64("age_s", g.Loop.Now()-start).Msg("worker has a start not heard of: empty and cold")
 		g.tellWorkers([]*Worker{w})
 	}
@@ -336,38 +336,38 @@
 
 // The list of workers.
 
-// Replace sets what a source of the roster names, and tells the decisions what changed.
-func (g *Gateway) Replace(s roster.Source, list []roster.Entry) error {
-	changed, err := g.Roster.Replace(s, list, g.Loop.Now())
+// Replace sets what a source of the list of workers names, and tells the decisions what changed.
+func (g *Gateway) Replace(s membership.Source, list []membership.Entry) error {
+	changed, err := g.Members.Replace(s, list, g.Loop.Now())
 	g.changed(changed)
 	return err
 }
 
-// Change takes what a source of the roster says of some workers, and tells the decisions.
-func (g *Gateway) Change(s roster.Source, list []roster.Entry) error {
-	changed, err := g.Roster.Change(s, list, g.Loop.Now())
+// Change takes what a source of the list of workers says of some workers, and tells the decisions.
+func (g *Gateway) Change(s membership.Source, list []membership.Entry) error {
+	changed, err := g.Members.Change(s, list, g.Loop.Now())
 	g.changed(changed)
 	return err
 }
 
 // Rule sets what the admin interface says of a worker, and tells the decisions.
-func (g *Gateway) Rule(e roster.Entry) error {
-	changed, err := g.Roster.Rule(e, g.Loop.Now())
+func (g *Gateway) Rule(e membership.Entry) error {
+	changed, err := g.Members.Rule(e, g.Loop.Now())
 	g.changed(changed)
 	return err
 }
 
-// ListFailed tells that a source of the roster could not be read; the list as it was stays in force.
+// ListFailed tells that a source of the list of workers could not be read; the list as it was stays in force.
 func (g *Gateway) ListFailed(err error) {
 	g.log.Warn().Err(err).Msg("list of workers not read; the last one stays in force")
 	g.Metrics.listFailed.Inc()
 	g.begin()
 	if g.module != nil && g.cfg.Roster.Discovery == "ask" {
-		g.guard(func() { g.module.Workers(control.ListFailed, g.Roster.Version, nil) })
+		g.guard(func() { g.module.Workers(control.ListFailed, g.Members.Version, nil) })
 	}
 }
 
-func (g *Gateway) changed(list []*roster.Worker) {
+func (g *Gateway) changed(list []*membership.Worker) {
 	var tell []*Worker
 	for _, r := range list {
 		w := g.workers[r.ID]
@@ -424,7 +424,7 @@
 		}
 		g.Loop.Start(&w.again, again)
 	}
-	if held := g.Roster.Greeted(w.Worker); !w.told || held {
+	if held := g.Members.Greeted(w.Worker); !w.told || held {
 		w.told = true
 		g.tellWorkers([]*Worker{w})
 	}
@@ -440,19 +440,19 @@
 	}
 	g.begin()
 	if g.module != nil {
-		g.guard(func() { g.module.Workers(control.ListChanges, g.Roster.Version, lines) })
+		g.guard(func() { g.module.Workers(control.ListChanges, g.Members.Version, lines) })
 	}
 }
 
 func (g *Gateway) tellList(kind control.ListKind) {
 	var lines []control.WorkerInfo
-	for _, r := range g.Roster.All() {
+	for _, r := range g.Members.All() {
 		if w := g.workers[r.ID]; w != nil && w.told {
 			lines = append(lines, w.Line())
 		}
 	}
 	g.begin()
 	if g.module != nil {
-		g.guard(func() { g.module.Workers(kind, g.Roster.Version, lines) })
+		g.guard(func() { g.module.Workers(kind, g.Members.Version, lines) })
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
 // Package gateway is the host around the decisions: it takes requests from clients, lets control.Module decide, carries
 // out its actions towards workers, and gives each request its one final answer. It knows clients and workers by the
-// interfaces of side.go; HTTP/1.1 is one implementation of them.
+// interfaces of interfaces.go; HTTP/1.1 is one implementation of them.
 //
 // It decides nothing about routing. What it adds are guards that hold whatever the decisions say: one final answer,
 // nothing sent after it, nothing sent to a worker that drains, an answer by the client's time. Each guard counts when
@@ -21,7 +21,7 @@
 	"mastchute/control"
 	"mastchute/internal/config"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 const (
@@ -42,7 +42,7 @@
 type Gateway struct {
 	Loop    *loop.Loop
 	Metrics *Metrics
-	Roster  *roster.Roster
+	Members *membership.List
 
 	cfg    *config.Config
 	log    zerolog.Logger
@@ -97,8 +97,8 @@
 	Settings control.Settings
 	Seed     uint64
 	Front    func(g *Gateway) (Front, error) // called once, before the loop runs
-	Source   roster.Source                   // of Workers
-	Workers  []roster.Entry                  // as listed at the start
+	Source   membership.Source               // of Workers
+	Workers  []membership.Entry              // as listed at the start
 	Models   int                             // kept at most; 0 means the usual
 }
 
@@ -109,7 +109,7 @@
 func NewHost(l *loop.Loop, o Options, log zerolog.Logger, start Start) (*Gateway, error) {
 	cfg := o.Config
 	g := &Gateway{Loop: l, cfg: cfg, log: log, set: o.Settings, tenants: map[string]int{}, workers: map[control.WorkerID]*Worker{},
-		Roster: roster.New(config.WorkerID), wakes: map[control.TimerID]*loop.Timer{}, exit: &Exit{}, mostModels: o.Models}
+		Members: membership.New(config.WorkerID), wakes: map[control.TimerID]*loop.Timer{}, exit: &Exit{}, mostModels: o.Models}
 	if g.mostModels == 0 {
 		g.mostModels = mostModels
 	}
@@ -157,15 +157,15 @@
 	return g, nil
 }
 
-// Entries turns configured workers into entries of the roster.
-func Entries(list []config.Worker) ([]roster.Entry, error) {
-	var out []roster.Entry
+// Entries turns configured workers into entries of the list of workers.
+func Entries(list []config.Worker) ([]membership.Entry, error) {
+	var out []membership.Entry
 	for _, w := range list {
 		addr, err := netip.ParseAddrPort(w.Address)
 		if err != nil {
 			return nil, err
 		}
-		e := roster.Entry{Name: w.Name, Addr: addr, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind, Weight: w.Weight, State: control.Ready}
+		e := membership.Entry{Name: w.Name, Addr: addr, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind, Weight: w.Weight, State: control.Ready}
 		if e.Weight == 0 {
 			e.Weight = 1
 		}
@@ -344,7 +344,7 @@
 // Forget drops models nobody has asked for, and workers taken off the list, since a time.
 func (g *Gateway) Forget(since float64) {
 	g.models.forget(since, math.MaxInt)
-	g.Roster.Forget(since, func(r *roster.Worker) bool {
+	g.Members.Forget(since, func(r *membership.Worker) bool {
 		w := g.workers[r.ID]
 		if w == nil {
 			return true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,7 +19,7 @@
 	"mastchute/internal/h1"
 	"mastchute/internal/http1"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 func TestReturnedAnswerGoesThrough(t *testing.T) {
@@ -195,7 +195,7 @@
 	a, b := newWorker(t, "w1", fine), newWorker(t, "w2", fine)
 	r := newRig(t, "", nil, a, b)
 	a.ln.Close()
-	r.on(func() { r.g.workers[r.g.Roster.Named("w1").ID].link.CloseIdle() })
+	r.on(func() { r.g.workers[r.g.Members.Named("w1").ID].link.CloseIdle() })
 	for i := range 8 {
 		r.expect(fmt.Sprintf("once-%d", i), 200, "returned")
 	}
@@ -289,16 +289,16 @@
 		go func() { defer wg.Done(); r.expect("read-1", 200, "returned") }()
 	}
 	r.until("four wait for the connection", func() bool {
-		return len(a.seen()) == 2 && r.g.workers[r.g.Roster.Named("w1").ID].link.Queued() == 4
+		return len(a.seen()) == 2 && r.g.workers[r.g.Members.Named("w1").ID].link.Queued() == 4
 	})
 	r.on(func() {
-		if err := r.g.Rule(roster.Entry{Name: "w2", Addr: mustAddr(b), State: control.Ready, Weight: 1}); err != nil {
+		if err := r.g.Rule(membership.Entry{Name: "w2", Addr: mustAddr(b), State: control.Ready, Weight: 1}); err != nil {
 			t.Error(err)
 		}
 	})
-	r.until("w2 is told of", func() bool { return r.g.workers[r.g.Roster.Named("w2").ID].told })
+	r.until("w2 is told of", func() bool { return r.g.workers[r.g.Members.Named("w2").ID].told })
 	r.on(func() {
-		if err := r.g.Rule(roster.Entry{Name: "w1", State: control.Draining}); err != nil {
+		if err := r.g.Rule(membership.Entry{Name: "w1", State: control.Draining}); err != nil {
 			t.Error(err)
 		}
 	})
@@ -352,7 +352,7 @@
 		w.mu.Unlock()
 		if how == "ready again" {
 			for _, s := range []control.WorkerState{control.Draining, control.Ready} {
-				r.on(func() { r.g.Rule(roster.Entry{Name: "w1", State: s}) })
+				r.on(func() { r.g.Rule(membership.Entry{Name: "w1", State: s}) })
 			}
 		} else {
 			w.mu.Lock()
@@ -363,14 +363,14 @@
 		}
 		c := <-asked
 		r.on(func() {
-			if l := r.g.Roster.Named("w1").Line(); how == "ready again" && l.State != control.Draining {
+			if l := r.g.Members.Named("w1").Line(); how == "ready again" && l.State != control.Draining {
 				t.Errorf("%s: told as %+v before it answered", how, l)
 			}
 		})
 		c.Close() // no answer: it is asked again
 		c = <-asked
 		reply(200, "", "")(c, nil)
-		r.until(how+": it is ready", func() bool { return r.g.Roster.Named("w1").Line().State == control.Ready })
+		r.until(how+": it is ready", func() bool { return r.g.Members.Named("w1").Line().State == control.Ready })
 		r.expect("read-1", 200, "returned")
 	}
 }
@@ -615,7 +615,7 @@
 	r := newRig(t, "", nil, a)
 	r.expect("read-1", 200, "returned")
 	r.on(func() {
-		r.g.Replace(roster.Config, []roster.Entry{{Name: "w1", Addr: mustAddr(b), State: control.Ready, Weight: 1}})
+		r.g.Replace(membership.Config, []membership.Entry{{Name: "w1", Addr: mustAddr(b), State: control.Ready, Weight: 1}})
 	})
 	r.expect("read-1", 200, "returned")
 	if len(a.seen()) != 1 || len(b.seen()) != 1 {
@@ -641,9 +641,9 @@
 	s := newWorker(t, "w0", fine)
 	r := newRig(t, "log: {sample: 0}\n", nil, s)
 	r.on(func() {
-		r.g.Replace(roster.Config, []roster.Entry{{Name: "w1", Addr: srv.Addr(), State: control.Ready, Weight: 1}})
+		r.g.Replace(membership.Config, []membership.Entry{{Name: "w1", Addr: srv.Addr(), State: control.Ready, Weight: 1}})
 	})
-	r.until("the echo worker is told of", func() bool { w := r.g.Roster.Named("w1"); return w != nil && r.g.workers[w.ID].told })
+	r.until("the echo worker is told of", func() bool { w := r.g.Members.Named("w1"); return w != nil && r.g.workers[w.ID].told })
 	client, err := loop.New(0)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/http_front.go
+++ b/internal/gateway/http_front.go
@@ -13,7 +13,7 @@
 	"mastchute/internal/h1"
 	"mastchute/internal/http1"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 // New makes a gateway that listens for HTTP/1.1 as configured. Run the loop to serve; at must be the configured address.
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewHost(l, Options{Config: cfg, Settings: cfg.Settings(), Seed: cfg.Seed, Source: roster.Config, Workers: list,
+	return NewHost(l, Options{Config: cfg, Settings: cfg.Settings(), Seed: cfg.Seed, Source: membership.Config, Workers: list,
 		Front: func(g *Gateway) (Front, error) { return newHTTP(g) }}, log, start)
 }
 
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -4,7 +4,7 @@
 	"net/netip"
 
 	"mastchute/control"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 // The host knows clients and workers by what follows and by nothing else. HTTP/1.1 (http_front.go, http_link.go) is one
@@ -69,9 +69,9 @@
 	Copies int
 }
 
-// Worker is a worker of the roster with the way to it.
+// Worker is a worker of the list of workers with the way to it.
 type Worker struct {
-	*roster.Worker
+	*membership.Worker
 	link    Link
 	addr    netip.AddrPort // the link's
 	epoch   float64        // the start that the list told when the link was made
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -61,7 +61,7 @@
 
 // Status takes a snapshot. On the loop.
 func (g *Gateway) Status() Status {
-	s := Status{Name: g.cfg.Name, Now: g.Loop.Now(), Stopping: g.stopping, Crash: g.exit.Crash, Version: g.Roster.Version,
+	s := Status{Name: g.cfg.Name, Now: g.Loop.Now(), Stopping: g.stopping, Crash: g.exit.Crash, Version: g.Members.Version,
 		Taken: g.seq, InHand: g.inFlight, Connections: g.Loop.Stats.Conns.Load(), Memory: g.front.Held(),
 		Workers: []WorkerStatus{}, Hand: []HandStatus{}}
 	views := map[control.WorkerID]control.WorkerView{}
@@ -73,7 +73,7 @@
 			views[w.ID] = w
 		}
 	}
-	for _, r := range g.Roster.All() {
+	for _, r := range g.Members.All() {
 		w := g.workers[r.ID]
 		if w == nil {
 			continue
--- a/internal/lab/simhost.go
+++ b/internal/lab/simhost.go
@@ -8,7 +8,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/config"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 	"mastchute/internal/standin"
 )
 
@@ -24,7 +24,7 @@
 	life     int // counts its starts
 	module   control.Module
 	origin   float64
-	roster   *roster.Roster
+	members  *membership.List
 	seq      uint64
 	hand     map[control.RequestID]*simInference
 	order    []*simInference // as they came, for a kill
@@ -115,7 +115,7 @@
 func (h *simHost) up() {
 	s := h.s
 	h.life++
-	h.origin, h.roster, h.hand, h.order = s.now, roster.New(config.WorkerID), map[control.RequestID]*simInference{}, nil
+	h.origin, h.members, h.hand, h.order = s.now, membership.New(config.WorkerID), map[control.RequestID]*simInference{}, nil
 	h.wakes, h.open, h.settling, h.told = map[control.TimerID]int{}, 0, false, false
 	h.sentAt = make([]float64, len(s.spec.Workers))
 	for i := range h.sentAt {
@@ -125,15 +125,15 @@
 	cfg := s.day.Settings
 	cfg.Name = h.name
 	h.module = h.start(seed, cfg.Settings(), h)
-	var list []roster.Entry
+	var list []membership.Entry
 	for _, w := range s.spec.Workers {
-		list = append(list, roster.Entry{Name: w.Name, Zone: w.Zone, Cell: w.Cell, Weight: 1, State: control.Ready})
+		list = append(list, membership.Entry{Name: w.Name, Zone: w.Zone, Cell: w.Cell, Weight: 1, State: control.Ready})
 	}
 	h.event(func() {
-		h.roster.Replace(roster.Config, list, 0)
+		h.members.Replace(membership.Config, list, 0)
 		for i, w := range s.spec.Workers {
 			if s.fleet.Up(i) {
-				h.roster.Started(h.roster.Named(w.Name), simEpoch+s.fleet.Start(i), s.fleet.Start(i)-h.origin, 0)
+				h.members.Started(h.members.Named(w.Name), simEpoch+s.fleet.Start(i), s.fleet.Start(i)-h.origin, 0)
 			}
 		}
 		if cfg.Roster.Discovery == "push" {
@@ -187,19 +187,19 @@
 
 func (h *simHost) list(kind control.ListKind) {
 	var lines []control.WorkerInfo
-	for _, w := range h.roster.All() {
+	for _, w := range h.members.All() {
 		lines = append(lines, w.Line())
 	}
-	h.module.Workers(kind, h.roster.Version, lines)
+	h.module.Workers(kind, h.members.Version, lines)
 }
 
-func (h *simHost) changes(list []*roster.Worker) {
+func (h *simHost) changes(list []*membership.Worker) {
 	var lines []control.WorkerInfo
 	for _, w := range list {
 		lines = append(lines, w.Line())
 	}
 	if len(lines) > 0 && h.told {
-		h.event(func() { h.module.Workers(control.ListChanges, h.roster.Version, lines) })
+		h.event(func() { h.module.Workers(control.ListChanges, h.members.Version, lines) })
 	}
 }
 
@@ -208,10 +208,10 @@
 	if h.module == nil {
 		return
 	}
-	var all []*roster.Worker
+	var all []*membership.Worker
 	for _, w := range list {
 		st := map[string]control.WorkerState{"ready": control.Ready, "draining": control.Draining, "gone": control.Gone}[w.state]
-		changed, _ := h.roster.Rule(roster.Entry{Name: w.worker, State: st}, h.s.now-h.origin)
+		changed, _ := h.members.Rule(membership.Entry{Name: w.worker, State: st}, h.s.now-h.origin)
 		h.s.e.Words = append(h.s.e.Words, Word{h.name, w.worker, w.state, simEpoch + h.s.now})
 		all = append(all, changed...)
 	}
@@ -241,7 +241,7 @@
 }
 
 // greet asks a worker for its start, as gateway does.
-func (h *simHost) greet(w *roster.Worker) {
+func (h *simHost) greet(w *membership.Worker) {
 	if w.State != control.Ready {
 		return
 	}
@@ -255,15 +255,15 @@
 				}
 			})
 		}
-		if h.roster.Greeted(w) {
-			h.changes([]*roster.Worker{w})
+		if h.members.Greeted(w) {
+			h.changes([]*membership.Worker{w})
 		}
 	})
 }
 
 // lost: the connections to a worker ended.
 func (h *simHost) lost(i int) {
-	if w := h.roster.Named(h.s.spec.Workers[i].Name); h.module != nil && w.Lost() {
+	if w := h.members.Named(h.s.spec.Workers[i].Name); h.module != nil && w.Lost() {
 		h.greet(w)
 	}
 }
@@ -375,7 +375,7 @@
 // The actions, as control.Actions names them.
 
 func (h *simHost) Attempt(id control.RequestID, wid control.WorkerID, timeout control.Seconds) {
-	s, q, w := h.s, h.hand[id], h.roster.Find(wid)
+	s, q, w := h.s, h.hand[id], h.members.Find(wid)
 	if q == nil || w == nil {
 		s.guards["unknown"]++
 		return
@@ -428,7 +428,7 @@
 }
 
 func (h *simHost) Order(wid control.WorkerID, m control.ModelID, copies int) {
-	s, w := h.s, h.roster.Find(wid)
+	s, w := h.s, h.members.Find(wid)
 	name := ""
 	for _, o := range s.models {
 		if o.id == m {
@@ -467,7 +467,7 @@
 }
 
 func (h *simHost) Unload(wid control.WorkerID, m control.ModelID) {
-	s, w := h.s, h.roster.Find(wid)
+	s, w := h.s, h.members.Find(wid)
 	for _, o := range s.models {
 		if o.id == m && w != nil {
 			s.message(func() { s.fleet.Unload(s.now, s.worker(w.Name), o.name) })
@@ -476,7 +476,7 @@
 }
 
 func (h *simHost) Probe(wid control.WorkerID) {
-	s, w := h.s, h.roster.Find(wid)
+	s, w := h.s, h.members.Find(wid)
 	if w == nil {
 		return
 	}
@@ -525,9 +525,9 @@
 	if t.start <= 0 || h.module == nil {
 		return
 	}
-	w := h.roster.Named(h.s.spec.Workers[i].Name)
-	if h.roster.Started(w, t.start, t.start-simEpoch-h.origin, h.s.now-h.origin) {
-		h.changes([]*roster.Worker{w})
+	w := h.members.Named(h.s.spec.Workers[i].Name)
+	if h.members.Started(w, t.start, t.start-simEpoch-h.origin, h.s.now-h.origin) {
+		h.changes([]*membership.Worker{w})
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/membership/membership.go
@@ -1,7 +1,7 @@
-// Package roster keeps the list of workers: which sources name them, in which state, as of which version, and when
+// Package membership keeps the list of workers: which sources name them, in which state, as of which version, and when
 // each change was heard. It is pure: no I/O, no clock. Where sources disagree the stricter word holds: gone before
 // draining before ready; what the admin interface said of a worker holds until it is taken back there.
-package roster
+package membership
 
 import (
 	"cmp"
@@ -60,8 +60,8 @@
 	current control.WorkerInfo
 }
 
-// Roster is the list. Make it by New.
-type Roster struct {
+// List is the list. Make it by New.
+type List struct {
 	Version uint32
 	byID    map[control.WorkerID]*Worker
 	order   []*Worker
@@ -85,18 +85,18 @@
 }
 
 // New makes an empty list; id tells the id of a name.
-func New(id func(string) control.WorkerID) *Roster {
-	return &Roster{byID: map[control.WorkerID]*Worker{}, id: id, zones: intern{}, cells: intern{}, kinds: intern{}}
+func New(id func(string) control.WorkerID) *List {
+	return &List{byID: map[control.WorkerID]*Worker{}, id: id, zones: intern{}, cells: intern{}, kinds: intern{}}
 }
 
 // All lists the workers, by name, those gone included.
-func (r *Roster) All() []*Worker { return r.order }
+func (r *List) All() []*Worker { return r.order }
 
 // Find returns a worker by id, nil if there is none.
-func (r *Roster) Find(id control.WorkerID) *Worker { return r.byID[id] }
+func (r *List) Find(id control.WorkerID) *Worker { return r.byID[id] }
 
 // Named returns a worker by name, nil if there is none.
-func (r *Roster) Named(name string) *Worker {
+func (r *List) Named(name string) *Worker {
 	if w := r.byID[r.id(name)]; w != nil && w.Name == name {
 		return w
 	}
@@ -105,7 +105,7 @@
 
 // Replace sets what a source names: workers it named before and does not name now are taken off its list. It returns
 // the workers whose line changed. An id that two names share is refused by name, and nothing is changed.
-func (r *Roster) Replace(s Source, list []Entry, now float64) ([]*Worker, error) {
+func (r *List) Replace(s Source, list []Entry, now float64) ([]*Worker, error) {
 	seen := map[control.WorkerID]string{}
 	for _, e := range list {
 		id := r.id(e.Name)
@@ -129,7 +129,7 @@
 }
 
 // Change sets what a source says of some workers; it goes on naming the others.
-func (r *Roster) Change(s Source, list []Entry, now float64) ([]*Worker, error) {
+func (r *List) Change(s Source, list []Entry, now float64) ([]*Worker, error) {
 	for _, e := range list {
 		if w := r.byID[r.id(e.Name)]; w != nil && w.Name != e.Name {
 			return nil, fmt.Errorf("workers %q and %q have the same id: rename one", w.Name, e.Name)
@@ -142,7 +142,7 @@
 }
 
 // Forget drops the workers that have been gone since a time and that may be dropped.
-func (r *Roster) Forget(since float64, may func(*Worker) bool) {
+func (r *List) Forget(since float64, may func(*Worker) bool) {
 	r.order = slices.DeleteFunc(r.order, func(w *Worker) bool {
 		if w.State != control.Gone || w.Heard >= since || w.ruled || !may(w) {
 			return false
@@ -152,7 +152,7 @@
 	})
 }
 
-func (r *Roster) put(s Source, e Entry) {
+func (r *List) put(s Source, e Entry) {
 	w := r.byID[r.id(e.Name)]
 	if w == nil {
 		w = &Worker{Entry: e, ID: r.id(e.Name), Start: math.Inf(-1)}
@@ -164,7 +164,7 @@
 }
 
 // Rule sets what the admin interface says of a worker's state; a worker it does not know yet needs an address.
-func (r *Roster) Rule(e Entry, now float64) ([]*Worker, error) {
+func (r *List) Rule(e Entry, now float64) ([]*Worker, error) {
 	w := r.Named(e.Name)
 	if w == nil || !w.Listed {
 		if !e.Addr.IsValid() {
@@ -190,7 +190,7 @@
 
 // Started notes the start that a worker tells of itself (seconds since 1970, and the same on the dispatcher's clock).
 // It returns true where that is news: an empty, cold worker under the old name.
-func (r *Roster) Started(w *Worker, epoch, start, now float64) bool {
+func (r *List) Started(w *Worker, epoch, start, now float64) bool {
 	if epoch <= w.Epoch {
 		return false // an answer that was under way, or nothing new
 	}
@@ -202,7 +202,7 @@
 }
 
 // settle works out each worker's line, and returns those that changed.
-func (r *Roster) settle(now float64) []*Worker {
+func (r *List) settle(now float64) []*Worker {
 	var changed []*Worker
 	for _, w := range r.order {
 		was, listed := w.current, w.Listed
@@ -255,7 +255,7 @@
 	return 0
 }
 
-func (r *Roster) info(w *Worker) control.WorkerInfo {
+func (r *List) info(w *Worker) control.WorkerInfo {
 	return control.WorkerInfo{ID: w.ID, Zone: control.ZoneID(r.zones.of(w.Zone)), Kind: control.KindID(r.kinds.of(w.Kind)),
 		Cell: control.CellID(r.cells.of(w.Cell)), State: w.State, Weight: w.Weight, Start: w.Start}
 }
@@ -274,7 +274,7 @@
 func (w *Worker) Held() bool { return w.held }
 
 // Greeted notes that a worker was asked for its start, whether it answered or not, and tells whether its line changed.
-func (r *Roster) Greeted(w *Worker) bool {
+func (r *List) Greeted(w *Worker) bool {
 	was := w.held
 	w.held = false
 	return was
--- a/internal/roster/roster_test.go
+++ b/internal/membership/membership_test.go
@@ -1,4 +1,4 @@
-package roster
+package membership
 
 import (
 	"math/rand/v2"
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -15,7 +15,7 @@
 	"mastchute/internal/h1"
 	"mastchute/internal/http1"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 const (
@@ -56,13 +56,13 @@
 
 var states = map[string]control.WorkerState{"active": control.Ready, "leaving": control.Draining, "left": control.Gone}
 
-// entry turns a member into an entry of the roster; epoch is the Unix time of the loop's second 0.
-func (m *Member) entry(epoch float64) (roster.Entry, error) {
+// entry turns a member into an entry of the list of workers; epoch is the Unix time of the loop's second 0.
+func (m *Member) entry(epoch float64) (membership.Entry, error) {
 	state, ok := states[m.State]
 	if !ok || m.ID == "" {
-		return roster.Entry{}, errors.New("a worker without an id, or in a state that is not known")
+		return membership.Entry{}, errors.New("a worker without an id, or in a state that is not known")
 	}
-	e := roster.Entry{Name: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: strconv.FormatInt(m.Cell, 10), Weight: m.Weight, State: state,
+	e := membership.Entry{Name: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: strconv.FormatInt(m.Cell, 10), Weight: m.Weight, State: state,
 		Told: true, Start: math.Inf(-1)}
 	if m.Start > 0 {
 		e.Epoch = m.Start / 1e3
@@ -235,14 +235,14 @@
 	return nil
 }
 
-// apply hands one event to the roster.
+// apply hands one event to the list of workers.
 func (f *feed) apply(e *Change) {
-	var list []roster.Entry
+	var list []membership.Entry
 	at := map[string]int{}
 	for _, raw := range e.Fleet.Members {
 		var m Member
 		err := json.Unmarshal(raw, &m)
-		var entry roster.Entry
+		var entry membership.Entry
 		if err == nil {
 			entry, err = m.entry(f.epoch)
 		}
@@ -250,7 +250,7 @@
 			f.skipped("change_log_entry", err)
 			var named struct{ ID string }
 			json.Unmarshal(raw, &named)
-			w := f.g.Roster.Named(named.ID) // the list names it still: it stays as it is
+			w := f.g.Members.Named(named.ID) // the list names it still: it stays as it is
 			if w == nil || !w.Listed {
 				continue
 			}
@@ -267,7 +267,7 @@
 	if e.Fleet.Complete {
 		take = f.g.Replace
 	}
-	if err := take(roster.Log, list); err != nil {
+	if err := take(membership.Log, list); err != nil {
 		f.skipped("change_log_event", err)
 	}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -15,7 +15,7 @@
 	lib "github.com/apache/thrift/lib/go/thrift"
 
 	"mastchute/control"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 	"mastchute/internal/thrift/thrifttest"
 )
 
@@ -203,7 +203,7 @@
 			turn()
 			if v := r.d.Gateway.Status().Workers[0]; !done && v.Queued > 0 {
 				done = true
-				if err := r.d.Gateway.Change(roster.Log, []roster.Entry{r.entry(a, control.Draining), r.entry(b, control.Ready)}); err != nil {
+				if err := r.d.Gateway.Change(membership.Log, []membership.Entry{r.entry(a, control.Draining), r.entry(b, control.Ready)}); err != nil {
 					t.Error(err)
 				}
 			}
@@ -215,7 +215,7 @@
 	}
 }
 
-func (r *rig) entry(s *scripted, state control.WorkerState) roster.Entry {
+func (r *rig) entry(s *scripted, state control.WorkerState) membership.Entry {
 	e, err := (&Member{ID: s.id, Address: s.ln.Addr().String(), Zone: "z", Cell: 1, State: "active", Weight: 4}).entry(0)
 	if err != nil {
 		r.t.Error(err)
@@ -331,7 +331,7 @@
 			r.log.add(false, b.member("active", 0))
 			r.until("the event is heard", func() bool { return len(r.d.Gateway.Status().Workers) == 2 })
 			r.on(func() {
-				if v := r.d.Gateway.Roster.Version; v != 2 || r.d.feed.last != 2 {
+				if v := r.d.Gateway.Members.Version; v != 2 || r.d.feed.last != 2 {
 					t.Errorf("list of version %d, event %d", v, r.d.feed.last)
 				}
 			})
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -210,7 +210,7 @@
 			r.on(func() {
 				take()
 				var got []string
-				for _, w := range r.d.Gateway.Roster.All() {
+				for _, w := range r.d.Gateway.Members.All() {
 					if w.Listed {
 						got = append(got, w.Name)
 					}
@@ -240,7 +240,7 @@
 	r.log.add(false, w.member("leaving", 0))
 	r.until("both are heard", func() bool { return r.d.feed.last == 3 })
 	r.on(func() {
-		if e := r.d.Gateway.Roster.Named("w1").Epoch; e != float64(now)/1e3 {
+		if e := r.d.Gateway.Members.Named("w1").Epoch; e != float64(now)/1e3 {
 			t.Errorf("start %g, told %d ms", e, now)
 		}
 	})
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -19,7 +19,7 @@
 	"mastchute/internal/config"
 	"mastchute/internal/gateway"
 	"mastchute/internal/loop"
-	"mastchute/internal/roster"
+	"mastchute/internal/membership"
 )
 
 const (
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	d := &Dispatcher{Loop: l, log: log, timeout: f.timeout(), before: map[string]int{}, ended: make(chan error, 1)}
-	o := gateway.Options{Config: f.host(), Settings: f.set, Seed: f.seed, Source: roster.Log,
+	o := gateway.Options{Config: f.host(), Settings: f.set, Seed: f.seed, Source: membership.Log,
 		Models: int(f.Limits.MemoryMB * (1 << 20) * modelShare / eachModel)}
 	o.Front = func(g *gateway.Gateway) (gateway.Front, error) {
 		p, err := newFront(g, f)
