--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,7 +34,7 @@
 	Roster      Roster   `yaml:"roster"`
 	Rules       Rules    `yaml:"rules"`
 	Loads       Loads    `yaml:"loads"`
-	Forwards    Forwards `yaml:"forwards"`
+	Attempts    Attempts `yaml:"forwards"`
 	Report      []string `yaml:"load_report"`
 	Limits      Limits   `yaml:"limits"`
 }
@@ -112,10 +112,10 @@
 	Share   float64  `yaml:"share"`
 }
 
-// Forwards say what may be done for one request.
-type Forwards struct {
+// Attempts say what may be done for one request.
+type Attempts struct {
 	Most          int      `yaml:"most"`
-	SecondCopies  bool     `yaml:"second_copies"`
+	Hedging       bool     `yaml:"second_copies"`
 	Cancel        bool     `yaml:"cancel"`
 	Probes        bool     `yaml:"probes"`
 	ProbePrice    float64  `yaml:"probe_price"` // of a request's value
@@ -125,7 +125,7 @@
 // Limits bound what the process holds.
 type Limits struct {
 	Connections       int      `yaml:"connections"`
-	Inferences        int      `yaml:"inferences"`
+	Requests          int      `yaml:"inferences"`
 	Body              Size     `yaml:"body"`
 	Memory            Size     `yaml:"memory"`
 	Answer            Size     `yaml:"answer"`
@@ -148,9 +148,9 @@
 		Rules: Rules{DrainGrace: S(1), ColdShare: 0.2, WarmAfter: S(15), OverloadFactor: 2, Fall: S(1),
 			AskEvery: S(10)},
 		Loads:    Loads{OnMiss: "load", Orders: true, Keep: S(8), Timeout: S(10)},
-		Forwards: Forwards{Most: 3, SecondCopies: true, Cancel: true, MaxRetryAfter: S(1)},
+		Attempts: Attempts{Most: 3, Hedging: true, Cancel: true, MaxRetryAfter: S(1)},
 		Report:   []string{"inflight", "queue"},
-		Limits: Limits{Connections: 16000, Inferences: 20000, Body: B(8 << 20), Memory: B(512 << 20), Answer: B(1 << 20),
+		Limits: Limits{Connections: 16000, Requests: 20000, Body: B(8 << 20), Memory: B(512 << 20), Answer: B(1 << 20),
 			Head: B(32 << 10), IdleTimeout: S(60), HeadTimeout: S(10), BodyTimeout: S(30), WorkerConnections: 256,
 			WorkerIdle: 64, WorkerIdleTimeout: S(15), ConnectTimeout: S(0.25)},
 	}
@@ -324,15 +324,15 @@
 	}
 	between(root+".loads.few", c.Loads.Few, 0, 1e9, "")
 	between(root+".loads.share", c.Loads.Share, 0, 1e3, "")
-	between(root+".forwards.most", float64(c.Forwards.Most), 1, 8, "")
-	between(root+".forwards.probe_price", c.Forwards.ProbePrice, 0, 1, "")
-	span(root+".forwards.max_retry_after", c.Forwards.MaxRetryAfter, 0, 3600)
+	between(root+".forwards.most", float64(c.Attempts.Most), 1, 8, "")
+	between(root+".forwards.probe_price", c.Attempts.ProbePrice, 0, 1, "")
+	span(root+".forwards.max_retry_after", c.Attempts.MaxRetryAfter, 0, 3600)
 	for i, f := range c.Report {
 		oneOf(fmt.Sprintf("%s.load_report[%d]", root, i), f, "inflight", "queue", "util", "latency_ms", "qps", "eps", "x0", "x1")
 	}
 	l := &c.Limits
 	between(root+".limits.connections", float64(l.Connections), 1, 1e6, "")
-	between(root+".limits.inferences", float64(l.Inferences), 1, 1e6, "")
+	between(root+".limits.inferences", float64(l.Requests), 1, 1e6, "")
 	between(root+".limits.worker_connections", float64(l.WorkerConnections), 1, 1e5, "")
 	between(root+".limits.worker_idle", float64(l.WorkerIdle), 1, 1e5, "")
 	for _, z := range []struct {
@@ -410,9 +410,9 @@
 		"models.on_miss": c.Loads.OnMiss, "models.orders": c.Loads.Orders, "models.keep": c.Loads.Keep.Seconds,
 		"models.order_timeout": c.Loads.Timeout.Seconds, "models.load_window": c.Loads.Window.Seconds,
 		"models.load_few": c.Loads.Few, "models.load_share": c.Loads.Share,
-		"limits.max_attempts": float64(c.Forwards.Most), "limits.hedging": c.Forwards.SecondCopies,
-		"limits.cancel": c.Forwards.Cancel, "limits.probes": c.Forwards.Probes, "prices.probe": c.Forwards.ProbePrice,
-		"limits.retry_after": c.Forwards.MaxRetryAfter.Seconds > 0, "limits.max_retry_after": c.Forwards.MaxRetryAfter.Seconds,
+		"limits.max_attempts": float64(c.Attempts.Most), "limits.hedging": c.Attempts.Hedging,
+		"limits.cancel": c.Attempts.Cancel, "limits.probes": c.Attempts.Probes, "prices.probe": c.Attempts.ProbePrice,
+		"limits.retry_after": c.Attempts.MaxRetryAfter.Seconds > 0, "limits.max_retry_after": c.Attempts.MaxRetryAfter.Seconds,
 		"load_report.fields": float64(len(c.Report)), "groups": float64(len(c.Groups)), "tenants": float64(len(c.Tenants)),
 	}
 	for i, f := range c.Report {
@@ -443,7 +443,7 @@
 		{"dispatchers", c.Dispatchers == n.Dispatchers}, {"tick", c.Tick.Seconds == n.Tick.Seconds},
 		{"log.format", c.Log.Format == n.Log.Format}, {"groups", slices.Equal(c.Groups, n.Groups)},
 		{"tenants", slices.Equal(c.Tenants, n.Tenants)}, {"roster.discovery", c.Roster.Discovery == n.Roster.Discovery},
-		{"rules", c.Rules == n.Rules}, {"loads", c.Loads == n.Loads}, {"forwards", c.Forwards == n.Forwards},
+		{"rules", c.Rules == n.Rules}, {"loads", c.Loads == n.Loads}, {"forwards", c.Attempts == n.Attempts},
 		{"load_report", slices.Equal(c.Report, n.Report)}, {"limits", c.Limits == n.Limits},
 	} {
 		if !f.same {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,7 +56,7 @@
 	q.attempts[q.attempted] = f
 	q.attempted++
 	q.pending++
-	w.meter.forwards.Inc()
+	w.meter.attempts.Inc()
 	if q.answered || w.State != control.Ready { // rules 1 and 3, whatever was decided
 		g.Metrics.guard("forward_barred")
 		f.barred = true
--- a/internal/gateway/http_front.go
+++ b/internal/gateway/http_front.go
@@ -103,7 +103,7 @@
 	case !g.Serving():
 		x.CloseAfter()
 		return p.refuse(x, "stopping", 503, "the dispatcher is stopping")
-	case g.inFlight >= g.cfg.Limits.Inferences:
+	case g.inFlight >= g.cfg.Limits.Requests:
 		return p.refuse(x, "too_many", 503, "too many inferences are in hand")
 	}
 	if t := h.Get("mastchute-tenant"); len(t) > 0 && len(g.tenants) > 0 {
@@ -164,7 +164,7 @@
 	g := p.g
 	name, _, _ := modelPath(x.Head.Target)
 	m, err := g.lookup(name)
-	if m == nil || err != nil || !g.Serving() || g.inFlight >= g.cfg.Limits.Inferences {
+	if m == nil || err != nil || !g.Serving() || g.inFlight >= g.cfg.Limits.Requests {
 		p.refuse(x, "stopping", 503, "the dispatcher is stopping or full") // since its head came in
 		return
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,7 +16,7 @@
 	refusals, guards, taken    *prometheus.CounterVec
 	answered                   *prometheus.CounterVec
 	latency                    *prometheus.HistogramVec
-	forwards, ends             *prometheus.CounterVec
+	attempts, ends             *prometheus.CounterVec
 }
 
 type groupMeter struct {
@@ -33,7 +33,7 @@
 }
 
 type workerMeter struct {
-	forwards prometheus.Counter
+	attempts prometheus.Counter
 	ends     [control.Missed + 1]prometheus.Counter
 }
 
@@ -63,7 +63,7 @@
 	m.guards = vec("mastchute_guards_total", "Times the host barred what a rule forbids; each is a fault to report.", "guard")
 	m.taken = vec("mastchute_taken_total", "Inferences taken.", "group")
 	m.answered = vec("mastchute_answers_total", "Final answers, by kind; left means that the client went first.", "group", "answer")
-	m.forwards = vec("mastchute_forwards_total", "Forwards to workers.", "worker")
+	m.attempts = vec("mastchute_forwards_total", "Forwards to workers.", "worker")
 	m.ends = vec("mastchute_forward_ends_total", "How forwards ended.", "worker", "result")
 	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "mastchute_returned_seconds",
 		Help: "Time from taking an inference to its returned answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}, []string{"group"})
@@ -90,7 +90,7 @@
 }
 
 func (m *Metrics) worker(name string) workerMeter {
-	w := workerMeter{forwards: m.forwards.WithLabelValues(name)}
+	w := workerMeter{attempts: m.attempts.WithLabelValues(name)}
 	for r := range w.ends {
 		w.ends[r] = m.ends.WithLabelValues(name, resultNames[r])
 	}
@@ -99,6 +99,6 @@
 
 // forget drops the counters of a worker.
 func (m *Metrics) forget(worker string) {
-	m.forwards.DeleteLabelValues(worker)
+	m.attempts.DeleteLabelValues(worker)
 	m.ends.DeletePartialMatch(prometheus.Labels{"worker": worker})
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -8,17 +8,17 @@
 
 // Status is what a dispatcher knows at one moment, for operators.
 type Status struct {
-	Name        string         `json:"name"`
-	Now         float64        `json:"now_s"` // seconds since its start
-	Stopping    bool           `json:"stopping"`
-	Crash       string         `json:"crash,omitempty"`
-	Version     uint32         `json:"roster_version"`
-	Taken       uint64         `json:"taken"`
-	InHand      int            `json:"in_hand"`
-	Connections int64          `json:"connections"`
-	Memory      int64          `json:"bodies_held_bytes"`
-	Workers     []WorkerStatus `json:"workers"`
-	Hand        []HandStatus   `json:"hand"`
+	Name        string          `json:"name"`
+	Now         float64         `json:"now_s"` // seconds since its start
+	Stopping    bool            `json:"stopping"`
+	Crash       string          `json:"crash,omitempty"`
+	Version     uint32          `json:"roster_version"`
+	Taken       uint64          `json:"taken"`
+	InHand      int             `json:"in_hand"`
+	Connections int64           `json:"connections"`
+	Memory      int64           `json:"bodies_held_bytes"`
+	Workers     []WorkerStatus  `json:"workers"`
+	Hand        []RequestStatus `json:"hand"`
 }
 
 // WorkerStatus is one worker.
@@ -42,16 +42,16 @@
 }
 
 // HandStatus is one request in flight.
-type HandStatus struct {
-	Inference string  `json:"inference"`
-	Model     string  `json:"model"`
-	Group     string  `json:"group"`
-	Age       float64 `json:"age_s"`
-	Left      float64 `json:"left_s"`
-	Forwards  int     `json:"forwards"`
-	Out       int     `json:"out"`
-	Why       string  `json:"why"`
-	At        string  `json:"at,omitempty"`
+type RequestStatus struct {
+	Request  string  `json:"inference"`
+	Model    string  `json:"model"`
+	Group    string  `json:"group"`
+	Age      float64 `json:"age_s"`
+	Left     float64 `json:"left_s"`
+	Attempts int     `json:"forwards"`
+	Out      int     `json:"out"`
+	Why      string  `json:"why"`
+	At       string  `json:"at,omitempty"`
 }
 
 // viewer is what a module offers where it can be looked into.
@@ -63,7 +63,7 @@
 func (g *Gateway) Status() Status {
 	s := Status{Name: g.cfg.Name, Now: g.Loop.Now(), Stopping: g.stopping, Crash: g.exit.Crash, Version: g.Members.Version,
 		Taken: g.seq, InHand: g.inFlight, Connections: g.Loop.Stats.Conns.Load(), Memory: g.front.Held(),
-		Workers: []WorkerStatus{}, Hand: []HandStatus{}}
+		Workers: []WorkerStatus{}, Hand: []RequestStatus{}}
 	views := map[control.WorkerID]control.WorkerView{}
 	var hand []control.HandView
 	if v, ok := g.module.(viewer); ok && g.module != nil {
@@ -98,8 +98,8 @@
 		if q == nil {
 			continue
 		}
-		hs := HandStatus{Inference: string(g.appendID(nil, q)), Model: q.model.Name, Group: q.group.Name, Age: h.Age, Left: h.Left,
-			Forwards: q.attempted, Out: h.Out, Why: h.Why}
+		hs := RequestStatus{Request: string(g.appendID(nil, q)), Model: q.model.Name, Group: q.group.Name, Age: h.Age, Left: h.Left,
+			Attempts: q.attempted, Out: h.Out, Why: h.Why}
 		if w := g.workers[h.At]; w != nil {
 			hs.At = w.Name
 		}
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -113,7 +113,7 @@
 	if _, err = io.WriteString(l.c, head+"\r\n"+body); err == nil {
 		var resp *http.Response
 		if resp, err = http.ReadResponse(l.r, nil); err == nil {
-			t.Status, t.Answer, t.Inference = resp.StatusCode, resp.Header.Get("Mastchute-Answer"), resp.Header.Get("Mastchute-Inference")
+			t.Status, t.Answer, t.Request = resp.StatusCode, resp.Header.Get("Mastchute-Answer"), resp.Header.Get("Mastchute-Inference")
 			retryAfter, _ = strconv.ParseFloat(resp.Header.Get("Mastchute-Retry-After"), 64)
 			_, err = io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -62,14 +62,14 @@
 	Work   config.Duration `yaml:"work"`
 	Fetch  config.Duration `yaml:"fetch"`
 	Boot   config.Duration `yaml:"boot"`
-	Share  float64         `yaml:"share"` // of all inferences, beside the others' shares
+	Share  float64         `yaml:"share"` // of all requests, beside the others' shares
 	Zipf   float64         `yaml:"zipf"`  // how unequal their popularity is; 0 for equal
 	Answer config.Size     `yaml:"answer"`
 }
 
 // Clients describe the load: open-loop arrivals at a rate.
 type Clients struct {
-	Rate      float64 `yaml:"rate"` // inferences asked a second
+	Rate      float64 `yaml:"rate"` // requests asked a second
 	Retries   int     `yaml:"retries"`
 	Impatient float64 `yaml:"impatient"` // share of tries that leave before the time is up
 	Bursts    []Burst `yaml:"bursts"`
@@ -139,14 +139,14 @@
 
 // most is what one machine can hold of a day.
 type most struct {
-	dispatchers, workers, rate, inferences float64
+	dispatchers, workers, rate, requests float64
 }
 
 const mostLength = 3600.0 // s
 
 var mosts = map[Clock]most{
-	Sockets:   {dispatchers: 16, workers: 200, rate: 2000, inferences: 2e6},
-	Simulated: {dispatchers: 400, workers: 1000, rate: 20000, inferences: 2e6},
+	Sockets:   {dispatchers: 16, workers: 200, rate: 2000, requests: 2e6},
+	Simulated: {dispatchers: 400, workers: 1000, rate: 20000, requests: 2e6},
 }
 
 // LoadDay reads and checks a day file; its settings are completed with the fleet's models.
@@ -303,8 +303,8 @@
 	if peak := d.Clients.Rate * d.peak(); peak > m.rate {
 		s.At("$.clients.bursts", "%g inferences a second at the peak are more than one machine plays: %g at most", peak, m.rate)
 	}
-	if n := d.Clients.Rate * length; n > m.inferences {
-		s.At("$.length", "%g inferences in all are more than one machine keeps: %g at most", n, m.inferences)
+	if n := d.Clients.Rate * length; n > m.requests {
+		s.At("$.length", "%g inferences in all are more than one machine keeps: %g at most", n, m.requests)
 	}
 	between("network.delay", d.Network.Delay.Seconds, 0, 10)
 	between("network.jitter", d.Network.Jitter.Seconds, 0, 10)
@@ -422,7 +422,7 @@
 	return s
 }
 
-// named is one model of the day with its share of all inferences.
+// named is one model of the day with its share of all requests.
 type named struct {
 	name  string
 	group config.Group
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -85,8 +85,8 @@
 	Seeds   int     `json:"seeds"`
 	Service float64 `json:"service"`
 	Warm    float64 `json:"warm"`
-	Turned  float64 `json:"turned"`  // share of forwards
-	Loads   float64 `json:"loads"`   // for each inference served
+	Turned  float64 `json:"turned"`  // share of attempts
+	Loads   float64 `json:"loads"`   // for each request served
 	Broken  int     `json:"broken"`  // runs in which a rule was
 	Nearest float64 `json:"nearest"` // to the limit of rule 4 in any run, 1 for at it
 	Diff    float64 `json:"difference"`
@@ -221,7 +221,7 @@
 	mean := func(at *float64, v float64) { *at += (v - *at) / float64(r.Seeds) }
 	mean(&r.Service, rep.Service)
 	mean(&r.Warm, rep.Warm)
-	mean(&r.Turned, float64(rep.Turned)/math.Max(1, float64(rep.Forwards)))
+	mean(&r.Turned, float64(rep.Turned)/math.Max(1, float64(rep.Attempts)))
 	mean(&r.Loads, float64(rep.Loads)/math.Max(1, float64(rep.Served)))
 	mean(&r.Diff, rep.Service-base.Service)
 	r.Nearest = math.Max(r.Nearest, rep.Findings[3].Nearest)
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -22,7 +22,7 @@
 	Timeout    float64 `json:"timeout"`            // s the client had for it
 	Status     int     `json:"status,omitempty"`
 	Answer     string  `json:"answer,omitempty"` // Mastchute-Answer; empty: nothing was taken
-	Inference  string  `json:"inference,omitempty"`
+	Request    string  `json:"inference,omitempty"`
 	Left       bool    `json:"left,omitempty"`    // the client went early, on purpose
 	Refused    bool    `json:"refused,omitempty"` // no connection came about
 	Error      string  `json:"error,omitempty"`
@@ -90,7 +90,7 @@
 	}
 }
 
-// sending is one forward as a worker saw it.
+// sending is one attempt as a worker saw it.
 type sending struct {
 	standin.Record
 	turned float64 // when it was turned away unrun; 0 if not
@@ -100,17 +100,17 @@
 func Judge(e *Evidence) []Finding {
 	records := append([]standin.Record(nil), e.Records...)
 	sort.SliceStable(records, func(i, j int) bool { return records[i].T < records[j].T })
-	sent := map[string][]*sending{} // by inference, in order of arrival
+	sent := map[string][]*sending{} // by request, in order of arrival
 	for _, r := range records {
 		switch r.Event {
 		case "arrive":
-			sent[r.Inference] = append(sent[r.Inference], &sending{Record: r})
+			sent[r.Request] = append(sent[r.Request], &sending{Record: r})
 		case "turned":
 			if r.Why != "full" && r.Why != "miss" {
 				continue
 			}
-			for _, s := range sent[r.Inference] {
-				if s.Forward == r.Forward && s.turned == 0 {
+			for _, s := range sent[r.Request] {
+				if s.Attempt == r.Attempt && s.turned == 0 {
 					s.turned = r.T
 				}
 			}
@@ -143,7 +143,7 @@
 	seen := map[string]int{}
 	for _, t := range e.Tries {
 		if t.Extra > 0 {
-			f.broke("%s: %d bytes came behind the answer of try %d of %s: a second answer", t.Inference, t.Extra, t.Number, t.Key)
+			f.broke("%s: %d bytes came behind the answer of try %d of %s: a second answer", t.Request, t.Extra, t.Number, t.Key)
 		}
 		switch {
 		case t.Left || t.Refused:
@@ -161,17 +161,17 @@
 		f.Tests++
 		f.Nearest = math.Max(f.Nearest, (t.Answered-t.Sent)/t.Timeout)
 		if late := t.Answered - t.Sent - t.Timeout; late > answerSlack {
-			f.broke("%s: answered %.3f s after the client's time", t.Inference, late)
+			f.broke("%s: answered %.3f s after the client's time", t.Request, late)
 		}
 		if t.Answer != "returned" && t.Answer != "shed" && t.Answer != "failed" {
-			f.broke("%s: %q is no final answer", t.Inference, t.Answer)
+			f.broke("%s: %q is no final answer", t.Request, t.Answer)
 		}
-		if seen[t.Inference]++; seen[t.Inference] > 1 {
-			f.broke("%s: answered %d times", t.Inference, seen[t.Inference])
+		if seen[t.Request]++; seen[t.Request] > 1 {
+			f.broke("%s: answered %d times", t.Request, seen[t.Request])
 		}
-		for _, s := range sent[t.Inference] {
+		for _, s := range sent[t.Request] {
 			if s.T > t.Answered+wireSlack {
-				f.broke("%s: forward %d came to %s %.3f s after the final answer", t.Inference, s.Forward, s.Worker, s.T-t.Answered)
+				f.broke("%s: forward %d came to %s %.3f s after the final answer", t.Request, s.Attempt, s.Worker, s.T-t.Answered)
 			}
 		}
 	}
@@ -184,7 +184,7 @@
 	sheds := map[string]Try{}
 	for _, t := range e.Tries {
 		if t.Answer == "shed" {
-			sheds[t.Inference] = t
+			sheds[t.Request] = t
 		}
 	}
 	var ids []string
@@ -204,13 +204,13 @@
 				f.Tests++
 			}
 			if first != nil && g.Effect == "non-retriable" {
-				f.broke("%s of non-retriable %s: forward %d came to %s while forward %d at %s may have run", id, g.Name, s.Forward, s.Worker, first.Forward, first.Worker)
+				f.broke("%s of non-retriable %s: forward %d came to %s while forward %d at %s may have run", id, g.Name, s.Attempt, s.Worker, first.Attempt, first.Worker)
 			} else if first != nil {
 				if !e.within(g, first.Worker, s.Worker) {
-					f.broke("%s of deduped %s: forward %d went to %s, outside the %s of %s", id, g.Name, s.Forward, s.Worker, g.Scope, first.Worker)
+					f.broke("%s of deduped %s: forward %d went to %s, outside the %s of %s", id, g.Name, s.Attempt, s.Worker, g.Scope, first.Worker)
 				}
 				if past := s.T - first.T - g.Window.Seconds; past > wireSlack {
-					f.broke("%s of deduped %s: forward %d came %.3f s past the window of %gs", id, g.Name, s.Forward, past, g.Window.Seconds)
+					f.broke("%s of deduped %s: forward %d came %.3f s past the window of %gs", id, g.Name, s.Attempt, past, g.Window.Seconds)
 				}
 			}
 			// It is known not to have run only if it was turned away before the next one came.
@@ -225,7 +225,7 @@
 		if t, ok := sheds[id]; ok {
 			f.Tests++
 			if first != nil && first.T < t.Answered && (g.Effect == "non-retriable" || g.Scope != "all") {
-				f.broke("%s of %s %s: shed, though forward %d at %s may have run", id, g.Effect, g.Name, first.Forward, first.Worker)
+				f.broke("%s of %s %s: shed, though forward %d at %s may have run", id, g.Effect, g.Name, first.Attempt, first.Worker)
 			}
 		}
 	}
@@ -233,7 +233,7 @@
 	for _, r := range records {
 		if r.Event == "ran" && r.Key != "" && groups[r.Group].Effect == "non-retriable" {
 			if ran[r.Key] = append(ran[r.Key], r); len(ran[r.Key]) == 2 {
-				f.broke("%s of non-retriable %s ran twice: at %s as %s, and at %s as %s", r.Key, r.Group, ran[r.Key][0].Worker, ran[r.Key][0].Inference, r.Worker, r.Inference)
+				f.broke("%s of non-retriable %s ran twice: at %s as %s, and at %s as %s", r.Key, r.Group, ran[r.Key][0].Worker, ran[r.Key][0].Request, r.Worker, r.Request)
 			}
 		}
 	}
@@ -364,7 +364,7 @@
 	return strings.Join(out, ", ")
 }
 
-// loads is rule 5: at each order to load, the orders within the window are at most few + share x inferences taken.
+// loads is rule 5: at each order to load, the orders within the window are at most few + share x requests taken.
 func (e *Evidence) loads(records []standin.Record) Finding {
 	f := Finding{Name: "orders to load rationed"}
 	l := e.Settings.Loads
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -29,8 +29,8 @@
 		fmt.Sscan(f[1], &at)
 		inf := func(w string) (r standin.Record) {
 			id, n, _ := strings.Cut(w, ".")
-			fmt.Sscan(n, &r.Forward)
-			r.Inference, r.T, r.Event, r.Worker, r.Group, r.Dispatcher = id, at, f[0], f[3], f[4], f[5]
+			fmt.Sscan(n, &r.Attempt)
+			r.Request, r.T, r.Event, r.Worker, r.Group, r.Dispatcher = id, at, f[0], f[3], f[4], f[5]
 			if r.Dispatcher == "" {
 				r.Dispatcher = "d0"
 			}
@@ -53,7 +53,7 @@
 		case "order":
 			e.Records = append(e.Records, standin.Record{T: at, Event: "order", Worker: f[2], Dispatcher: f[3]})
 		case "try":
-			x := Try{Sent: at, Inference: f[3], Answer: f[4], Timeout: 1, Dispatcher: "d0", Key: "k" + f[3]}
+			x := Try{Sent: at, Request: f[3], Answer: f[4], Timeout: 1, Dispatcher: "d0", Key: "k" + f[3]}
 			fmt.Sscan(f[2], &x.Answered)
 			fmt.Sscan(f[5], &x.Timeout)
 			e.Tries = append(e.Tries, x)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -41,7 +41,7 @@
 	Seed      uint64
 	Trace     []Arrival // played in place of Rate, Models and Zipf
 	Body      string
-	Most      int       // in hand at a time; beyond it arrivals are counted as not sent
+	Most      int       // in flight at a time; beyond it arrivals are counted as not sent
 	Say       io.Writer // a progress line a second; may be nil
 }
 
@@ -56,7 +56,7 @@
 type LoadResult struct {
 	Asked    int            `json:"asked"`
 	Answers  map[string]int `json:"answers"`  // of last tries: returned, shed, failed, left, refused, error
-	NotSent  int            `json:"not_sent"` // the generator itself had too many in hand
+	NotSent  int            `json:"not_sent"` // the generator itself had too many in flight
 	Tries    int            `json:"tries"`
 	Seconds  float64        `json:"seconds"`
 	Returned Latency        `json:"returned"`
--- a/internal/lab/page.go
+++ b/internal/lab/page.go
@@ -140,7 +140,7 @@
 			{"where time went at workers", "inferences at a time", 0, []curve{{"running", func(s Slice) float64 { return s.Running }},
 				{"running in vain", func(s Slice) float64 { return s.Running * s.Vain }}, {"waiting", func(s Slice) float64 { return s.Waiting }}}},
 			{"workers", "", 0, []curve{{"up", func(s Slice) float64 { return s.Up }}, {"used", func(s Slice) float64 { return float64(s.Used) }}}},
-			{"forwards and loads", "in a slice", 0, []curve{{"forwards", func(s Slice) float64 { return float64(s.Forwards) }}, {"turned away", func(s Slice) float64 { return float64(s.Turned) }},
+			{"forwards and loads", "in a slice", 0, []curve{{"forwards", func(s Slice) float64 { return float64(s.Attempts) }}, {"turned away", func(s Slice) float64 { return float64(s.Turned) }},
 				{"loads", func(s Slice) float64 { return float64(s.Loads) }}, {"load orders", func(s Slice) float64 { return float64(s.Orders) }},
 				{"store fetches", func(s Slice) float64 { return float64(s.Fetches) }}}},
 		} {
@@ -169,7 +169,7 @@
 table{border-collapse:collapse;margin:.7em 0}td,th{border-bottom:1px solid #ccc;padding:2px 7px;text-align:right}td:first-child,th:first-child{text-align:left}.bad{color:#b00;font-weight:bold}svg{display:block}</style>
 {{range .}}<div class="c"><h2>{{.Day}}</h2>
 <p>{{.Clock}}, seed {{.Seed}}{{if .Partial}}, <b class="bad">interrupted: partial</b>{{end}}: service <b>{{printf "%.3f" .Service}}</b>, found warm {{printf "%.3f" .Warm}}, {{.Served}} served,
-{{.Forwards}} forwards, {{.Turned}} turned away, {{.Orders}} load orders, {{.Loads}} loads</p>
+{{.Attempts}} attempts, {{.Turned}} turned away, {{.Orders}} load orders, {{.Loads}} loads</p>
 <table><tr><th>rule<th>verdict<th>tests</tr>{{range .Findings}}<tr><td>{{.Rule}}: {{.Name}}<td{{if .Broken}} class="bad"{{end}}>{{.Verdict}}<td>{{.Tests}}</tr>{{end}}</table>
 <table><tr><th>model group<th>asked<th>in SLO<th>late<th>shed<th>failed<th>left<th>p50 s<th>p99 s</tr>
 {{range .Groups}}<tr><td>{{.Name}}<td>{{.Asked}}<td>{{.InSLO}}<td>{{.Late}}<td>{{.Shed}}<td>{{.Failed}}<td>{{.Left}}<td>{{printf "%.3f" .P50}}<td>{{printf "%.3f" .P99}}</tr>{{end}}</table>
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -21,10 +21,10 @@
 	Findings []Finding          `json:"rules"`
 	Groups   []GroupReport      `json:"groups"`
 	Service  float64            `json:"service"`          // value returned within the SLO time over value asked for
-	Warm     float64            `json:"warm"`             // share of served forwards that found a warm copy
+	Warm     float64            `json:"warm"`             // share of served attempts that found a warm copy
 	WarmLate float64            `json:"warm_second_half"` // the same in the second half of the day
 	Served   int                `json:"served"`
-	Forwards int                `json:"forwards"`
+	Attempts int                `json:"forwards"`
 	Orders   int                `json:"orders"`
 	Loads    int                `json:"loads"`
 	Turned   int                `json:"turned"`
@@ -139,7 +139,7 @@
 	for _, r := range e.Records {
 		switch r.Event {
 		case "arrive":
-			rep.Forwards++
+			rep.Attempts++
 		case "served":
 			if rep.Served++; r.Found == "warm" {
 				warm++
@@ -206,7 +206,7 @@
 	}
 	sort.Strings(guards)
 	fmt.Fprintf(out, "service %.3f; found warm %.3f of %d served (second half %.3f); %d forwards, %d turned away, %d repeats dropped, %d orders, %d loads; guards: %s; exits: %s\n",
-		rep.Service, rep.Warm, rep.Served, rep.WarmLate, rep.Forwards, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), exits(rep.Exits))
+		rep.Service, rep.Warm, rep.Served, rep.WarmLate, rep.Attempts, rep.Turned, rep.Repeats, rep.Orders, rep.Loads, strings.Join(append(guards, "none")[:max(1, len(guards))], ", "), exits(rep.Exits))
 }
 
 // exits tells how many dispatchers ended with each exit code.
--- a/internal/lab/simhost.go
+++ b/internal/lab/simhost.go
@@ -26,8 +26,8 @@
 	origin   float64
 	members  *membership.List
 	seq      uint64
-	hand     map[control.RequestID]*simInference
-	order    []*simInference // as they came, for a kill
+	inFlight map[control.RequestID]*simRequest
+	order    []*simRequest // as they came, for a kill
 	open     int
 	settling bool
 	told     bool // Subscribe is on
@@ -68,12 +68,12 @@
 type reply struct {
 	status     int
 	answer     string
-	inference  string
+	request    string
 	retryAfter float64
 	error      string // no answer came about
 }
 
-type simInference struct {
+type simRequest struct {
 	id       control.RequestID
 	name     string
 	h        *simHost
@@ -82,17 +82,17 @@
 	tenant   string
 	notAfter float64
 	reply    func(reply)
-	forwards []*simForward
-	out      int
-	final    bool
+	attempts []*simAttempt
+	pending  int
+	answered bool
 }
 
-// simForward is one sending to a worker: of an inference, or of an order.
-type simForward struct {
+// simAttempt is one sending to a worker: of a request, or of an order.
+type simAttempt struct {
 	h        *simHost
-	q        *simInference
-	n        int
-	w        int
+	request  *simRequest
+	index    int
+	worker   int
 	made     float64
 	req      standin.Req
 	answered bool // by the worker, or its connection is lost
@@ -115,7 +115,7 @@
 func (h *simHost) up() {
 	s := h.s
 	h.life++
-	h.origin, h.members, h.hand, h.order = s.now, membership.New(config.WorkerID), map[control.RequestID]*simInference{}, nil
+	h.origin, h.members, h.inFlight, h.order = s.now, membership.New(config.WorkerID), map[control.RequestID]*simRequest{}, nil
 	h.wakes, h.open, h.settling, h.told = map[control.TimerID]int{}, 0, false, false
 	h.sentAt = make([]float64, len(s.spec.Workers))
 	for i := range h.sentAt {
@@ -152,11 +152,11 @@
 	}
 	h.module = nil
 	for _, q := range h.order {
-		if !q.final {
-			q.final = true
+		if !q.answered {
+			q.answered = true
 			q.reply(reply{error: "connection reset"})
 		}
-		for _, f := range q.forwards {
+		for _, f := range q.attempts {
 			if !f.done {
 				f.done = true
 				h.s.called(f)
@@ -268,19 +268,19 @@
 	}
 }
 
-// take takes an inference in.
-func (h *simHost) take(y *simTry, k *caller, answer func(reply)) *simInference {
+// take takes a request in.
+func (h *simHost) take(y *simTry, k *caller, answer func(reply)) *simRequest {
 	s := h.s
 	m := s.model(y.Model)
-	if h.open >= s.day.Settings.Limits.Inferences {
+	if h.open >= s.day.Settings.Limits.Requests {
 		answer(reply{status: 503})
 		return nil
 	}
 	h.seq++
 	span := math.Min(m.group.Timeout.Seconds, y.Timeout)
-	q := &simInference{id: control.RequestID(h.seq), name: fmt.Sprintf("%s-%d-%d", h.name, h.life, h.seq), h: h, model: m, key: k.key,
+	q := &simRequest{id: control.RequestID(h.seq), name: fmt.Sprintf("%s-%d-%d", h.name, h.life, h.seq), h: h, model: m, key: k.key,
 		tenant: k.tenant, notAfter: s.now + span, reply: answer}
-	h.hand[q.id] = q
+	h.inFlight[q.id] = q
 	h.order = append(h.order, q)
 	h.open++
 	in := control.Request{ID: q.id, Model: m.id, Group: m.index, Tenant: math.MaxUint16, MemoryMB: m.info.Memory.MB(),
@@ -294,23 +294,23 @@
 	return q
 }
 
-func (h *simHost) timeUp(q *simInference, life int) {
-	if h.life != life || h.hand[q.id] != q {
+func (h *simHost) timeUp(q *simRequest, life int) {
+	if h.life != life || h.inFlight[q.id] != q {
 		return
 	}
-	if !q.final {
+	if !q.answered {
 		h.s.guards["late"]++
 		h.finish(q, reply{status: 504, answer: "failed"})
 		h.event(func() { h.module.Withdrawn(q.id) })
 	}
-	for _, f := range q.forwards {
+	for _, f := range q.attempts {
 		h.ended(f, &told{result: control.TimedOut})
 	}
 }
 
 // left: the client has gone.
-func (h *simHost) left(q *simInference) {
-	if q == nil || q.final || h.module == nil || h.hand[q.id] != q {
+func (h *simHost) left(q *simRequest) {
+	if q == nil || q.answered || h.module == nil || h.inFlight[q.id] != q {
 		return
 	}
 	h.close(q)
@@ -318,54 +318,54 @@
 }
 
 // finish gives the final answer.
-func (h *simHost) finish(q *simInference, a reply) {
-	if q.final {
+func (h *simHost) finish(q *simRequest, a reply) {
+	if q.answered {
 		h.s.guards["second_answer"]++
 		return
 	}
-	a.inference = q.name
+	a.request = q.name
 	q.reply(a)
 	h.close(q)
 }
 
-func (h *simHost) close(q *simInference) {
-	q.final = true
+func (h *simHost) close(q *simRequest) {
+	q.answered = true
 	h.open--
-	for _, f := range q.forwards {
+	for _, f := range q.attempts {
 		h.ended(f, &told{result: control.Cancelled, crowd: -1})
 	}
 	h.s.after(0, func() { h.letGo(q) })
 }
 
-func (h *simHost) letGo(q *simInference) {
-	if q.final && q.out == 0 && h.hand[q.id] == q {
-		delete(h.hand, q.id)
-		if len(h.order) > 64 && len(h.order) > 2*len(h.hand) {
-			h.order = slices.DeleteFunc(h.order, func(o *simInference) bool { return h.hand[o.id] != o })
+func (h *simHost) letGo(q *simRequest) {
+	if q.answered && q.pending == 0 && h.inFlight[q.id] == q {
+		delete(h.inFlight, q.id)
+		if len(h.order) > 64 && len(h.order) > 2*len(h.inFlight) {
+			h.order = slices.DeleteFunc(h.order, func(o *simRequest) bool { return h.inFlight[o.id] != o })
 		}
 	}
 }
 
-// ended ends a forward, once, and has its outcome told.
-func (h *simHost) ended(f *simForward, t *told) {
+// ended ends an attempt, once, and has its outcome told.
+func (h *simHost) ended(f *simAttempt, t *told) {
 	if f.done {
 		return
 	}
 	f.done = true
-	s, q := h.s, f.q
+	s, q := h.s, f.request
 	if t.result == control.TimedOut || t.result == control.Cancelled {
 		s.called(f)
 	}
-	if t.result == control.Returned && !q.final {
+	if t.result == control.Returned && !q.answered {
 		h.finish(q, reply{status: 200, answer: "returned"})
 	}
-	o := control.Outcome{ID: q.id, Attempt: f.n, Worker: config.WorkerID(s.spec.Workers[f.w].Name), Took: s.now - f.made,
+	o := control.Outcome{ID: q.id, Attempt: f.index, Worker: config.WorkerID(s.spec.Workers[f.worker].Name), Took: s.now - f.made,
 		Result: t.result, Found: t.found, Crowd: t.crowd, Report: t.report}
 	life := h.life
 	s.after(0, func() {
 		if h.life == life && h.module != nil {
-			q.out--
-			o.Final = q.final
+			q.pending--
+			o.Final = q.answered
 			h.event(func() { h.module.Outcome(o) })
 			h.letGo(q)
 		}
@@ -375,21 +375,21 @@
 // The actions, as control.Actions names them.
 
 func (h *simHost) Attempt(id control.RequestID, wid control.WorkerID, timeout control.Seconds) {
-	s, q, w := h.s, h.hand[id], h.members.Find(wid)
+	s, q, w := h.s, h.inFlight[id], h.members.Find(wid)
 	if q == nil || w == nil {
 		s.guards["unknown"]++
 		return
 	}
-	f := &simForward{h: h, q: q, n: len(q.forwards), w: s.worker(w.Name), made: s.now}
-	q.forwards = append(q.forwards, f)
-	q.out++
-	if q.final || w.State != control.Ready {
+	f := &simAttempt{h: h, request: q, index: len(q.attempts), worker: s.worker(w.Name), made: s.now}
+	q.attempts = append(q.attempts, f)
+	q.pending++
+	if q.answered || w.State != control.Ready {
 		s.guards["forward_barred"]++
 		h.ended(f, &told{result: control.NotSent, crowd: -1})
 		return
 	}
 	w.Sent()
-	h.sentAt[f.w] = s.now
+	h.sentAt[f.worker] = s.now
 	if timeout > 0 {
 		life := h.life
 		s.after(timeout, func() {
@@ -400,7 +400,7 @@
 	}
 	f.req = standin.Req{Owner: f, Model: q.model.name, Tenant: q.tenant, Key: q.key, Until: q.notAfter}
 	f.end = func(t *told) {
-		h.heard(f.w, t)
+		h.heard(f.worker, t)
 		if t.lost {
 			t.result = control.Reset
 		}
@@ -410,20 +410,20 @@
 }
 
 func (h *simHost) Shed(id control.RequestID, retryAfter control.Seconds) {
-	if q := h.hand[id]; q != nil {
+	if q := h.inFlight[id]; q != nil {
 		h.finish(q, reply{status: 503, answer: "shed", retryAfter: retryAfter})
 	}
 }
 
 func (h *simHost) Fail(id control.RequestID) {
-	if q := h.hand[id]; q != nil {
+	if q := h.inFlight[id]; q != nil {
 		h.finish(q, reply{status: 502, answer: "failed"})
 	}
 }
 
 func (h *simHost) Cancel(id control.RequestID, n int) {
-	if q := h.hand[id]; q != nil && n < len(q.forwards) {
-		h.ended(q.forwards[n], &told{result: control.Cancelled, crowd: -1})
+	if q := h.inFlight[id]; q != nil && n < len(q.attempts) {
+		h.ended(q.attempts[n], &told{result: control.Cancelled, crowd: -1})
 	}
 }
 
@@ -439,7 +439,7 @@
 		s.guards["unknown"]++
 		return
 	}
-	f := &simForward{h: h, w: s.worker(w.Name), made: s.now}
+	f := &simAttempt{h: h, worker: s.worker(w.Name), made: s.now}
 	f.req = standin.Req{Owner: f, Model: name, Order: 1, Copies: copies}
 	life := h.life
 	tell := func(r control.Result, copies int) {
@@ -456,7 +456,7 @@
 		return
 	}
 	f.end = func(t *told) {
-		h.heard(f.w, t)
+		h.heard(f.worker, t)
 		if t.lost {
 			t.result = control.Reset
 		}
@@ -539,10 +539,10 @@
 	return n - 1
 }
 
-// send carries a forward or an order to its worker. A connection to a worker that is down does not come about; one
+// send carries an attempt or an order to its worker. A connection to a worker that is down does not come about; one
 // that was under way when the worker went is reset.
-func (s *sim) send(f *simForward) {
-	was, up := s.fleet.Start(f.w), s.fleet.Up(f.w)
+func (s *sim) send(f *simAttempt) {
+	was, up := s.fleet.Start(f.worker), s.fleet.Up(f.worker)
 	arrive := func() {
 		switch {
 		case f.done: // called off on its way; the worker sees a closed connection
@@ -551,19 +551,19 @@
 			f.answered = true
 			s.message(func() { f.end(&told{result: control.ConnectFailed, crowd: -1}) })
 			return
-		case !s.fleet.Up(f.w) || s.fleet.Start(f.w) != was:
+		case !s.fleet.Up(f.worker) || s.fleet.Start(f.worker) != was:
 			f.answered = true
 			s.message(func() { f.end(&told{lost: true, crowd: -1}) })
 			return
 		}
-		s.sends[f.w] = append(s.sends[f.w], f)
-		s.fleet.Arrive(s.now, f.w, &f.req)
+		s.sends[f.worker] = append(s.sends[f.worker], f)
+		s.fleet.Arrive(s.now, f.worker, &f.req)
 		if f.req.Verdict != standin.Open {
 			s.answer(f)
 		}
 	}
 	s.message(func() {
-		if s.fleet.Has(f.w, "slow_connect") {
+		if s.fleet.Has(f.worker, "slow_connect") {
 			s.after(0.2, arrive)
 			return
 		}
@@ -571,23 +571,23 @@
 	})
 }
 
-// called tells a worker that a forward was called off.
-func (s *sim) called(f *simForward) {
+// called tells a worker that an attempt was called off.
+func (s *sim) called(f *simAttempt) {
 	if f.answered || f.end == nil { // answered, or never sent
 		return
 	}
 	s.message(func() {
-		if !f.answered && slices.Contains(s.sends[f.w], f) {
+		if !f.answered && slices.Contains(s.sends[f.worker], f) {
 			s.drop(f)
 			s.fleet.Cancel(s.now, &f.req)
 		}
 	})
 }
 
-func (s *sim) drop(f *simForward) {
+func (s *sim) drop(f *simAttempt) {
 	f.answered = true
-	if i := slices.Index(s.sends[f.w], f); i >= 0 {
-		s.sends[f.w] = slices.Delete(s.sends[f.w], i, i+1)
+	if i := slices.Index(s.sends[f.worker], f); i >= 0 {
+		s.sends[f.worker] = slices.Delete(s.sends[f.worker], i, i+1)
 	}
 }
 
@@ -610,13 +610,13 @@
 }
 
 // answer sends a worker's answer on its way.
-func (s *sim) answer(f *simForward) {
+func (s *sim) answer(f *simAttempt) {
 	r := &f.req
 	if f.answered || r.Verdict == standin.Silent || r.Verdict == standin.Dead {
 		return
 	}
 	s.drop(f)
-	t := s.tells(f.w)
+	t := s.tells(f.worker)
 	t.copies = r.Copies
 	switch r.Verdict {
 	case standin.Served:
--- a/internal/lab/simulated.go
+++ b/internal/lab/simulated.go
@@ -59,7 +59,7 @@
 	coming bool
 	e      *Evidence
 	guards map[string]float64
-	sends  [][]*simForward // those at each worker, for when it vanishes
+	sends  [][]*simAttempt // those at each worker, for when it vanishes
 	says   map[string]string
 	models map[string]*simModel
 }
@@ -94,7 +94,7 @@
 	}
 	spec := day.Spec()
 	s := &sim{day: day, rnd: rand.New(rand.NewPCG(day.Seed, 4)), spec: spec, fleet: standin.NewFleet(spec, day.Fleet.Cold),
-		guards: map[string]float64{}, says: map[string]string{}, sends: make([][]*simForward, len(spec.Workers)), coming: true,
+		guards: map[string]float64{}, says: map[string]string{}, sends: make([][]*simAttempt, len(spec.Workers)), coming: true,
 		models: map[string]*simModel{},
 		e:      &Evidence{Settings: &day.Settings, Zones: map[string]string{}, Cells: map[string]string{}}}
 	for _, w := range spec.Workers {
@@ -128,7 +128,7 @@
 			e.f()
 		}
 		for _, r := range s.fleet.TakeDone() {
-			if f, ok := r.Owner.(*simForward); ok {
+			if f, ok := r.Owner.(*simAttempt); ok {
 				s.answer(f)
 			}
 		}
@@ -151,10 +151,10 @@
 	rec := standin.Record{T: simEpoch + now, Worker: w, Event: event}
 	if r != nil {
 		rec.Of(r)
-		if f, ok := r.Owner.(*simForward); ok && f.h != nil {
+		if f, ok := r.Owner.(*simAttempt); ok && f.h != nil {
 			rec.Dispatcher = f.h.name
-			if f.q != nil {
-				rec.Inference, rec.Forward = f.q.name, f.n
+			if f.request != nil {
+				rec.Request, rec.Attempt = f.request.name, f.index
 			}
 		}
 	}
@@ -206,7 +206,7 @@
 type simTry struct {
 	*Try
 	over bool
-	q    *simInference
+	q    *simRequest
 }
 
 // try asks the n-th gateway from the first.
@@ -248,7 +248,7 @@
 					}
 					return
 				}
-				t.Status, t.Answer, t.Inference = a.status, a.answer, a.inference
+				t.Status, t.Answer, t.Request = a.status, a.answer, a.request
 				if t.Error = a.error; a.error == "" {
 					t.Answered = simEpoch + s.now
 				}
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -18,15 +18,15 @@
 	Shed     int     `json:"shed"` // calls whose last try was shed
 	Lost     int     `json:"lost"` // failed, left or refused at last
 	Service  float64 `json:"service"`
-	Forwards int     `json:"forwards"`
+	Attempts int     `json:"forwards"`
 	Turned   int     `json:"turned"`
 	Loads    int     `json:"loads"`
 	Orders   int     `json:"orders"`
 	Fetches  int     `json:"fetches"`      // of a model from the store
 	Used     int     `json:"workers_used"` // that ran something
 	Up       float64 `json:"workers_up"`   // mean
-	Running  float64 `json:"running"`      // mean inferences running at a time
-	Waiting  float64 `json:"waiting"`      // mean inferences taken by workers that wait there: for a load or a lane
+	Running  float64 `json:"running"`      // mean requests running at a time
+	Waiting  float64 `json:"waiting"`      // mean requests taken by workers that wait there: for a load or a lane
 	Vain     float64 `json:"vain"`         // share of the run time that went to answers late or not wanted any more
 	P50      float64 `json:"p50_s"`
 	P99      float64 `json:"p99_s"`
@@ -69,7 +69,7 @@
 		first *Try
 		last  *Try
 	}
-	calls, wanted := map[string]*callOf{}, map[string]bool{} // wanted: inferences whose answer came in time
+	calls, wanted := map[string]*callOf{}, map[string]bool{} // wanted: requests whose answer came in time
 	for i := range e.Tries {
 		t := &e.Tries[i]
 		c := calls[t.Key]
@@ -100,7 +100,7 @@
 		case c.last.Answer == "returned" && took <= slo[c.first.Group]:
 			s.InSLO++
 			got[k] += v
-			wanted[c.last.Inference] = true
+			wanted[c.last.Request] = true
 		case c.last.Answer == "returned":
 			s.Late++
 		case c.last.Answer == "shed":
@@ -113,9 +113,9 @@
 		}
 	}
 	type sending struct {
-		inference string
-		forward   int
-		worker    string
+		request string
+		attempt int
+		worker  string
 	}
 	arrived, ran, used := map[sending]float64{}, map[sending]float64{}, make([]map[string]bool, sliceCount)
 	for i := range used {
@@ -129,14 +129,14 @@
 		spread(from, to, func(s *Slice, share float64) { s.Up -= share })
 	}
 	for _, r := range e.Records {
-		k, s := sending{r.Inference, r.Forward, r.Worker}, at(r.T)
+		k, s := sending{r.Request, r.Attempt, r.Worker}, at(r.T)
 		over := func() {
 			if t, ok := ran[k]; ok {
 				spread(t, r.T, func(s *Slice, share float64) {
 					s.Running += share
 					j := int(math.Round(s.From / width))
 					total[j] += share
-					if !wanted[r.Inference] {
+					if !wanted[r.Request] {
 						vain[j] += share
 					}
 				})
@@ -148,7 +148,7 @@
 		}
 		switch r.Event {
 		case "arrive":
-			s.Forwards++
+			s.Attempts++
 			arrived[k] = r.T
 		case "ran":
 			over()
@@ -241,7 +241,7 @@
 	fmt.Fprintln(w, "from\tservice\tasked\tin SLO\tlate\tshed\tlost\tforwards\tturned\tloads\tup\tused\trunning\twaiting\tin vain\tp50 ms\tp99 ms\t")
 	for _, s := range rep.Slices {
 		fmt.Fprintf(w, "%.1f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%.1f\t%.1f\t%.2f\t%.0f\t%.0f\t\n", s.From, s.Service, s.Asked, s.InSLO,
-			s.Late, s.Shed, s.Lost, s.Forwards, s.Turned, s.Loads, s.Up, s.Used, s.Running, s.Waiting, s.Vain, s.P50*1e3, s.P99*1e3)
+			s.Late, s.Shed, s.Lost, s.Attempts, s.Turned, s.Loads, s.Up, s.Used, s.Running, s.Waiting, s.Vain, s.P50*1e3, s.P99*1e3)
 	}
 	w.Flush()
 }
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -64,11 +64,11 @@
 	}
 }
 
-func (h *wrongHost) send(worker, path, id string, forward int, key string) (int, string) {
+func (h *wrongHost) send(worker, path, id string, attempt int, key string) (int, string) {
 	q, _ := http.NewRequest("POST", "http://"+worker+path, strings.NewReader("{}"))
 	q.Header.Set("Mastchute-Dispatcher", "d0")
 	q.Header.Set("Mastchute-Inference", id)
-	q.Header.Set("Mastchute-Forward", fmt.Sprint(forward))
+	q.Header.Set("Mastchute-Forward", fmt.Sprint(attempt))
 	q.Header.Set("Idempotency-Key", key)
 	resp, err := http.DefaultClient.Do(q)
 	if err != nil {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -201,8 +201,8 @@
 	return len(names)
 }
 
-// AppendForward appends an attempt; timeout is in milliseconds, mark may be empty.
-func AppendForward(b, id, group, model, mark []byte, timeoutMS int64, body []byte) []byte {
+// AppendInvoke appends an attempt; timeout is in milliseconds, mark may be empty.
+func AppendInvoke(b, id, group, model, mark []byte, timeoutMS int64, body []byte) []byte {
 	b = append(b, "invoke "...)
 	b = append(b, id...)
 	b = append(b, " queue="...)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -90,7 +90,7 @@
 		p.tenants[v.Name] = i
 	}
 	p.back = f.set.Is("limits.retry_after")
-	p.inHand = c.Limits.Inferences
+	p.inHand = c.Limits.Requests
 	p.bodyMost = int64(f.Limits.MemoryMB * (1 << 20) * bodyShare)
 	p.most = max(8, f.Limits.Sockets/clientParts)
 	p.oldest.prev, p.oldest.next = &p.oldest, &p.oldest
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -157,7 +157,7 @@
 		c.Report = append(c.Report, s.Text("load_report.fields."+strconv.Itoa(i)))
 	}
 	c.Loads.Timeout = config.S(f.positive("models.order_timeout", c.Loads.Timeout.Seconds))
-	c.Limits.Inferences = min(int(f.positive("limits.open_cap", openUsual)), int(f.Limits.MemoryMB*(1<<20)*handShare/eachInHand))
+	c.Limits.Requests = min(int(f.positive("limits.open_cap", openUsual)), int(f.Limits.MemoryMB*(1<<20)*handShare/eachInHand))
 	c.Limits.ConnectTimeout = config.S(f.positive("limits.connect_timeout", c.Limits.ConnectTimeout.Seconds))
 	c.Limits.WorkerIdleTimeout = config.S(f.positive("limits.conn_idle", c.Limits.WorkerIdleTimeout.Seconds))
 	return &c
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -524,7 +524,7 @@
 	for _, setting := range [][2]string{{`"effect":"pure"`, `"effect":"as_yet_unknown"`}, {`"discovery":"automatic"`, `"discovery":"gossip"`},
 		{`"fall_us":1000000`, `"fall_us":0`}, {`"open_cap":20000`, `"open_cap":0,"brand_new":{"a":[1]}`}, {`"peers_total":1,`, ``}} {
 		text := strings.Replace(good, setting[0], setting[1], 1)
-		if f, err := parseFile([]byte(text)); text == good || err != nil || f.host().Limits.Inferences < 1 {
+		if f, err := parseFile([]byte(text)); text == good || err != nil || f.host().Limits.Requests < 1 {
 			t.Errorf("%s: %v", setting[1], err)
 		}
 	}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -217,7 +217,7 @@
 	case r.f != nil:
 		k := r.f.Request.Client.(*call)
 		left := math.Max(1, math.Floor((r.f.Request.NotAfter()-p.l.Now())*1e3))
-		b = lines.AppendForward(b, name, k.group, []byte(r.f.Request.Model().Name), k.mark, int64(left), k.body)
+		b = lines.AppendInvoke(b, name, k.group, []byte(r.f.Request.Model().Name), k.mark, int64(left), k.body)
 	case r.o.Kind == gateway.OrderLoad:
 		b = lines.AppendLoad(b, name, r.o.Model.Name, r.o.Copies)
 	case r.o.Kind == gateway.OrderUnload:
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -22,12 +22,12 @@
 // WorkerSpec describes one worker.
 type WorkerSpec struct {
 	Name, Zone, Cell string
-	Cores            float64 // inferences that run at full speed at once
+	Cores            float64 // requests that run at full speed at once
 	Speed            float64 // of a core
 	MemoryMB         float64 // for copies
-	Queue            int     // inferences that may wait there; more are turned away as full
+	Queue            int     // requests that may wait there; more are turned away as full
 	Loads            int     // loads at a time
-	OnMiss           string  // "load" while the inference waits, or "miss"
+	OnMiss           string  // "load" while the request waits, or "miss"
 	Keep             float64 // s an idle copy stays
 	Disk             bool    // keeps images, which spare the fetch
 	StopsCancelled   bool    // work of a connection that was closed stops
@@ -58,7 +58,7 @@
 	Limit int // fetches at once; more are turned away
 }
 
-// State is where an inference stands.
+// State is where a request stands.
 type state uint8
 
 const (
@@ -68,7 +68,7 @@
 	ended
 )
 
-// Verdict says how an inference or order ended.
+// Verdict says how a request or order ended.
 type Verdict uint8
 
 const (
@@ -81,7 +81,7 @@
 	Dead                    // the worker went away under it
 )
 
-// Req is an inference or a load order at a worker.
+// Req is a request or a load order at a worker.
 type Req struct {
 	Owner         any
 	Model, Group  string
@@ -144,7 +144,7 @@
 type Fault struct {
 	Kind   string  // see Kinds
 	Worker string  // name or pattern; empty for all
-	Share  float64 // of inferences hit, 0 to 1; 0 means all
+	Share  float64 // of requests hit, 0 to 1; 0 means all
 	Factor float64 // of slowness
 	Span   float64 // s it lasts
 	What   string  // the tenant or model group meant
@@ -232,7 +232,7 @@
 // Has tells whether a trouble is on at a worker.
 func (f *Fleet) Has(i int, kind string) bool { _, ok := f.workers[i].faults[kind]; return ok }
 
-// Report is a worker's load report: inferences it holds, and those of them that wait.
+// Report is a worker's load report: requests it holds, and those of them that wait.
 func (f *Fleet) Report(i int) (inflight, queue float64) {
 	w := f.workers[i]
 	if f.now >= w.reported+0.1 && !f.Has(i, "report_late") {
@@ -281,7 +281,7 @@
 	return 1
 }
 
-// speed is how fast one running inference goes.
+// speed is how fast one running request goes.
 func (f *Fleet) speed(w *worker) float64 { return f.speedAt(w, f.now) }
 
 func (f *Fleet) speedAt(w *worker, now float64) float64 {
@@ -305,7 +305,7 @@
 	return v
 }
 
-// Arrive hands an inference or an order to a worker. Its verdict may stand at once; else Advance returns it later.
+// Arrive hands a request or an order to a worker. Its verdict may stand at once; else Advance returns it later.
 func (f *Fleet) Arrive(now float64, i int, r *Req) {
 	w := f.workers[i]
 	f.enter(now, w)
@@ -509,7 +509,7 @@
 	}
 }
 
-// dispatch lets waiting inferences run while there are lanes.
+// dispatch lets waiting requests run while there are lanes.
 func (f *Fleet) dispatch(w *worker, c *copies) {
 	for len(c.waiting) > 0 && c.busy < c.stand*max(1, c.spec.Lanes) {
 		r := c.waiting[0]
@@ -537,7 +537,7 @@
 	}
 }
 
-// Cancel takes note that an inference's connection was closed.
+// Cancel takes note that a request's connection was closed.
 func (f *Fleet) Cancel(now float64, r *Req) {
 	f.enter(now, r.w)
 	defer f.leave(r.w)
@@ -558,7 +558,7 @@
 	}
 }
 
-// stop takes an inference off those that run.
+// stop takes a request off those that run.
 func (f *Fleet) stop(r *Req) {
 	w := r.w
 	for i, o := range w.running {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -19,8 +19,8 @@
 	T          float64 `json:"t"`
 	Worker     string  `json:"worker"`
 	Event      string  `json:"event"`
-	Inference  string  `json:"inference,omitempty"`
-	Forward    int     `json:"forward,omitempty"`
+	Request    string  `json:"inference,omitempty"`
+	Attempt    int     `json:"forward,omitempty"`
 	Dispatcher string  `json:"dispatcher,omitempty"`
 	Key        string  `json:"key,omitempty"`
 	Group      string  `json:"group,omitempty"`
@@ -63,13 +63,13 @@
 	srv  *h1.Server
 }
 
-// call is what is known of a request while it is in hand.
+// call is what is known of a request while it is in flight.
 type call struct {
 	x          *h1.Exchange
 	req        Req
 	port       *port
-	inference  string
-	forward    int
+	request    string
+	attempt    int
 	dispatcher string
 }
 
@@ -136,7 +136,7 @@
 	if r != nil {
 		rec.Of(r)
 		if c, ok := r.Owner.(*call); ok {
-			rec.Inference, rec.Forward, rec.Dispatcher = c.inference, c.forward, c.dispatcher
+			rec.Request, rec.Attempt, rec.Dispatcher = c.request, c.attempt, c.dispatcher
 		}
 	}
 	s.encoder.Encode(rec)
@@ -168,8 +168,8 @@
 	if rest, ok := strings.CutPrefix(target, "/v2/repository/models/"); ok {
 		name, verb, _ = strings.Cut(rest, "/")
 	}
-	c := &call{x: x, port: p, dispatcher: string(h.Get("mastchute-dispatcher")), inference: string(h.Get("mastchute-inference"))}
-	c.forward, _ = strconv.Atoi(string(h.Get("mastchute-forward")))
+	c := &call{x: x, port: p, dispatcher: string(h.Get("mastchute-dispatcher")), request: string(h.Get("mastchute-inference"))}
+	c.attempt, _ = strconv.Atoi(string(h.Get("mastchute-forward")))
 	c.req = Req{Owner: c, Model: name, Key: string(h.Get("idempotency-key")), Tenant: string(h.Get("mastchute-tenant"))}
 	x.Owner = c
 	switch {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -458,10 +458,10 @@
 
 func (d *dispatcher) Fail(id control.RequestID) { d.do(acReportFailure).u32(uint32(id)) }
 
-func (d *dispatcher) Cancel(id control.RequestID, forward int) {
+func (d *dispatcher) Cancel(id control.RequestID, attempt int) {
 	o := d.do(acAbortAttempt)
 	o.u32(uint32(id))
-	o.u16(uint16(forward))
+	o.u16(uint16(attempt))
 }
 
 func (d *dispatcher) Order(w control.WorkerID, m control.ModelID, copies int) {
