--- /dev/null
+++ b/internal/platform/client_conn.go
@@ -0,0 +1,271 @@
+package platform
+
+import (
+	"mastchute/control"
+	"mastchute/internal/gateway"
+	"mastchute/internal/loop"
+	"mastchute/internal/thrift"
+)
+
+// clientConn is one connection of a client. Idle it holds no buffers.
+type clientConn struct {
+	p          *front
+	conn       *loop.Conn
+	first      *call // open on it
+	calls      int
+	timer      loop.Timer
+	faults     int
+	reads      uint32
+	used       bool // a whole message has come in
+	part       bool // part of a message has
+	closing    bool
+	prev, next *clientConn
+}
+
+func (c *clientConn) link() {
+	c.prev, c.next = c.p.oldest.prev, &c.p.oldest
+	c.prev.next, c.p.oldest.prev = c, c
+}
+
+func (c *clientConn) unlink() {
+	c.prev.next, c.next.prev = c.next, c.prev
+	c.prev, c.next = nil, nil
+}
+
+// Opened implements loop.Handler.
+func (c *clientConn) Opened(*loop.Conn) {}
+
+// Drained implements loop.Handler.
+func (c *clientConn) Drained(*loop.Conn) {}
+
+// Closed implements loop.Handler: the client has gone, and wants none of its answers.
+func (c *clientConn) Closed(*loop.Conn, error) { c.over() }
+
+// end closes the connection; what is open on it is given up. Answers written in this turn go out first: they are given,
+// and nobody would give them again.
+func (c *clientConn) end() {
+	if c.closing {
+		return
+	}
+	if c.conn.Waiting() > 0 {
+		c.conn.CloseFlushed()
+	} else {
+		c.conn.Close()
+	}
+	c.over()
+}
+
+// cut closes the connection at once, whose client does not keep to the protocol, or does not read.
+func (c *clientConn) cut() {
+	if c.closing {
+		return
+	}
+	c.conn.Flush()
+	if c.closing { // the flush found it gone
+		return
+	}
+	c.conn.Close()
+	c.over()
+}
+
+// endSoon closes it when what was written has gone out.
+func (c *clientConn) endSoon() {
+	if c.closing {
+		return
+	}
+	c.conn.CloseFlushed()
+	c.over()
+}
+
+func (c *clientConn) over() {
+	c.closing = true
+	c.p.l.Cancel(&c.timer)
+	if c.next != nil {
+		c.unlink()
+		c.p.conns--
+	}
+	for c.first != nil {
+		k := c.first
+		q := k.q
+		k.release()
+		c.p.g.Left(q)
+	}
+}
+
+// expired ends a connection whose time is up; bytes that lie unread have come in time.
+func (c *clientConn) expired() {
+	part, reads := c.part, c.reads
+	if c.conn.Poll(); c.closing || c.reads != reads && !(part && c.part) {
+		return
+	}
+	switch {
+	case c.part:
+		c.p.refuse("message_stalled")
+	case !c.used:
+		c.p.refuse("silent")
+	case c.calls > 0:
+		return
+	}
+	c.end()
+}
+
+// wait starts the time that the connection may stay as it is.
+func (c *clientConn) wait(part bool) {
+	switch {
+	case c.closing:
+	case part:
+		if !c.part || !c.timer.Pending() {
+			c.part = true
+			c.p.l.Start(&c.timer, partMost)
+		}
+	case c.calls > 0:
+		c.part = false
+		c.p.l.Cancel(&c.timer)
+	default:
+		c.part = false
+		c.p.l.Start(&c.timer, idleMost)
+	}
+}
+
+// Data implements loop.Handler.
+func (c *clientConn) Data(conn *loop.Conn, b []byte) int {
+	used := 0
+	c.reads++
+	for !c.closing {
+		payload, n, err := thrift.Frame(b[used:], thrift.MostFrame)
+		if err != nil {
+			c.p.refuse("frame")
+			c.cut()
+			return len(b)
+		}
+		if n == 0 {
+			break
+		}
+		used += n
+		m, err := thrift.Read(payload)
+		if err != nil {
+			c.p.refuse("unreadable")
+			c.write(thrift.AppendFault(c.p.scratch[:0], m.Seq, err.Error()))
+			c.endSoon()
+			return len(b)
+		}
+		c.used, c.part = true, false
+		c.heard(&m)
+	}
+	if !c.closing {
+		c.unlink()
+		c.link()
+		if conn.Waiting() > unreadMost {
+			c.p.refuse("does_not_read")
+			c.cut()
+			return len(b)
+		}
+		c.wait(used < len(b))
+		c.p.drained()
+	}
+	if c.closing {
+		return len(b)
+	}
+	return used
+}
+
+func (c *clientConn) write(b []byte) {
+	c.conn.Write(b)
+	if cap(b) <= 64<<10 {
+		c.p.scratch = b[:0]
+	}
+}
+
+// heard takes one message.
+func (c *clientConn) heard(m *thrift.Call) {
+	p := c.p
+	switch {
+	case m.Verb == thrift.Alive && m.Fault == nil:
+		c.write(thrift.AppendGood(p.scratch[:0], m.Seq, p.g.Ready() && p.g.Serving() && !p.leaving))
+	case m.Verb == thrift.Cancel:
+		if k := c.find(m.Target); k != nil && m.Fault == nil {
+			q := k.q
+			k.release()
+			p.g.Left(q)
+		}
+	case m.Fault != nil:
+		c.bad("unusable", m.Seq, m.Fault.Error())
+	case c.find(m.Seq) != nil: // its answer could be taken for the other's
+		p.refuse("number_in_use")
+		c.cut()
+	case c.calls >= openMost:
+		p.refuse("too_many_open")
+		c.cut()
+	default:
+		c.infer(m)
+	}
+}
+
+// bad answers what can't be used; a client that goes on so is not listened to for ever.
+func (c *clientConn) bad(why string, seq int32, text string) {
+	c.p.refuse(why)
+	c.write(thrift.AppendFault(c.p.scratch[:0], seq, text))
+	if c.faults++; c.faults >= faultsMost && c.calls == 0 {
+		c.endSoon()
+	}
+}
+
+// infer takes a request, or refuses it before it is taken.
+func (c *clientConn) infer(m *thrift.Call) {
+	p := c.p
+	group, ok := p.groups[string(m.Group)]
+	if !ok {
+		c.bad("unknown_group", m.Seq, "no such model group")
+		return
+	}
+	if p.deduped[group] && len(m.Mark) == 0 {
+		c.bad("no_mark", m.Seq, "a deduped inference needs its mark")
+		return
+	}
+	var key id
+	copy(key[:], m.ID)
+	if other := p.open[key]; other != nil {
+		p.refuse("id_in_use")
+		if other.c == c {
+			c.cut() // nothing it says can be told apart
+			return
+		}
+		c.bad("id_in_use", m.Seq, "an inference with this id is open")
+		return
+	}
+	if !p.g.Serving() || p.g.InFlight() >= p.inHand || p.bodies+int64(len(m.Body)) > p.bodyMost {
+		p.refuse("full")
+		c.write(thrift.AppendShed(p.scratch[:0], m.Seq, p.pause(retryInstead)))
+		return
+	}
+	model := p.g.FindModel(m.Model)
+	if model == nil {
+		var err error
+		if model, err = p.g.AddModel(gateway.Model{Name: string(m.Model), ID: modelID(m.Model), Group: group}); err != nil {
+			p.refuse("too_many_models")
+			c.write(thrift.AppendShed(p.scratch[:0], m.Seq, p.pause(retryInstead)))
+			return
+		}
+	}
+	k := p.take()
+	k.c, k.seq, k.id = c, m.Seq, key
+	k.group, k.mark, k.body = append(k.group[:0], m.Group...), append(k.mark[:0], m.Mark...), append(k.body[:0], m.Body...)
+	p.bodies += int64(len(k.body))
+	p.open[key] = k
+	k.next, c.first = c.first, k
+	c.calls++
+	tenant, ok := p.tenants[string(m.Tenant)]
+	if !ok {
+		tenant = -1
+	}
+	k.q = p.g.Accept(k, model, tenant, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
+		Work: m.Work, Load: m.Load, NotAfter: p.l.Now() + m.Timeout, Repeat: m.Repeat})
+}
+
+func (c *clientConn) find(seq int32) *call {
+	k := c.first
+	for k != nil && k.seq != seq {
+		k = k.next
+	}
+	return k
+}
--- /dev/null
+++ b/internal/platform/outgoing.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"mastchute/control"
+	"mastchute/internal/gateway"
+	"mastchute/internal/lines"
+)
+
+// sent is the record of one attempt or order on its way. It stays with its attempt or order.
+type sent struct {
+	f        *gateway.Attempt
+	o        *gateway.Order
+	l        *link
+	c        *workerConn // nil until written
+	queued   bool
+	name     [24]byte // id or tag
+	n        int
+	from, to uint64  // its place among the bytes of the connection
+	handed   float64 // when it was written to the connection
+}
+
+func (l *link) record(call *any) *sent {
+	r, _ := (*call).(*sent)
+	if r == nil {
+		r = &sent{}
+		*call = r
+	}
+	*r = sent{l: l}
+	return r
+}
+
+func (r *sent) end(why control.Result) {
+	if r.f != nil {
+		r.f.End(why)
+	} else if r.o != nil {
+		r.o.End(why)
+	}
+}
+
+// drop gives a record up. What has not left the process never does.
+func (r *sent) drop() {
+	if r == nil {
+		return
+	}
+	if r.queued {
+		r.queued = false
+		for i, o := range r.l.queue {
+			if o == r {
+				r.l.queue = append(r.l.queue[:i], r.l.queue[i+1:]...)
+				break
+			}
+		}
+		return
+	}
+	c := r.c
+	if c == nil {
+		return
+	}
+	r.c = nil
+	for i, o := range c.open {
+		if o == r {
+			c.open = append(c.open[:i], c.open[i+1:]...)
+			break
+		}
+	}
+	switch left := c.conn.Sent(); {
+	case left >= r.to:
+		if r.f != nil {
+			b := lines.AppendCancel(c.l.s.p.scratch[:0], r.name[:r.n])
+			c.conn.Write(b)
+			c.l.s.p.scratch = b[:0]
+		}
+	case c.conn.Retract(r.from, r.to):
+		for _, o := range c.open {
+			if o.from >= r.to {
+				o.from -= r.to - r.from
+				o.to -= r.to - r.from
+			}
+		}
+	default: // part of it has left: the worker does not read, and the rest is not to be sent any more
+		c.end(control.Reset)
+		return
+	}
+	if len(c.l.queue) > 0 {
+		c.l.mark()
+	}
+	c.awaits()
+}
+
+// left tells whether a byte of it has gone to the kernel.
+func (r *sent) left() bool { return r != nil && !r.queued && (r.c == nil || r.c.conn.Sent() > r.from) }
--- /dev/null
+++ b/internal/platform/worker_conn.go
@@ -0,0 +1,179 @@
+package platform
+
+import (
+	"math"
+
+	"mastchute/control"
+	"mastchute/internal/gateway"
+	"mastchute/internal/lines"
+	"mastchute/internal/loop"
+	"mastchute/internal/thrift"
+)
+
+// workerConn is one connection to a worker. It carries many attempts.
+type workerConn struct {
+	l     *link
+	conn  *loop.Conn
+	open  []*sent
+	up    bool
+	ended bool
+	timer loop.Timer // idle, or an answer that stands still
+	part  bool
+}
+
+// write hands a message to the connection; it leaves at the end of the turn.
+func (c *workerConn) write(r *sent) {
+	p := c.l.s.p
+	b := p.scratch[:0]
+	name := r.name[:r.n]
+	answered := true
+	switch {
+	case r.f != nil:
+		k := r.f.Request.Client.(*call)
+		left := math.Max(1, math.Floor((r.f.Request.NotAfter()-p.l.Now())*1e3))
+		b = lines.AppendInvoke(b, name, k.group, []byte(r.f.Request.Model().Name), k.mark, int64(left), k.body)
+	case r.o.Kind == gateway.OrderLoad:
+		b = lines.AppendLoad(b, name, r.o.Model.Name, r.o.Copies)
+	case r.o.Kind == gateway.OrderUnload:
+		b, answered = lines.AppendUnload(b, r.o.Model.Name), false
+	default:
+		b = lines.AppendProbe(b, name)
+	}
+	r.c, r.handed = c, p.l.Now()
+	r.from = c.conn.Queued()
+	r.to = r.from + uint64(len(b))
+	c.conn.Write(b)
+	if cap(b) <= 64<<10 {
+		p.scratch = b[:0]
+	}
+	if !answered {
+		o := r.o
+		r.c = nil
+		p.l.Later(func() { o.End(control.Returned) })
+		return
+	}
+	c.open = append(c.open, r)
+	c.awaits()
+}
+
+// awaits starts or stops the connection's timer as it stands.
+func (c *workerConn) awaits() {
+	l := c.l.s.p.l
+	switch {
+	case c.ended || !c.up:
+	case c.part:
+		if !c.timer.Pending() {
+			l.Start(&c.timer, partAnswer)
+		}
+	case len(c.open) > 0:
+		l.Cancel(&c.timer)
+	case c.l.closed:
+		c.end(control.NotSent)
+	default:
+		l.Start(&c.timer, c.l.s.idle)
+		c.l.s.eased()
+	}
+}
+
+func (c *workerConn) expired() {
+	if c.part {
+		c.l.s.p.refuse("answer_stalled")
+	}
+	c.end(control.Reset)
+}
+
+// Opened implements loop.Handler.
+func (c *workerConn) Opened(*loop.Conn) {
+	c.up = true
+	c.awaits()
+	c.l.mark()
+}
+
+// Drained implements loop.Handler: there is room again.
+func (c *workerConn) Drained(*loop.Conn) { c.l.mark() }
+
+// Closed implements loop.Handler.
+func (c *workerConn) Closed(_ *loop.Conn, _ error) {
+	if !c.up { // it never came up: nothing was sent on it
+		c.l.failed(c)
+		return
+	}
+	c.end(control.Reset)
+}
+
+// end ends the connection. What was handed whole to the kernel may have run; a message that was not never did.
+func (c *workerConn) end(why control.Result) {
+	if c.ended {
+		return
+	}
+	c.l.remove(c)
+	sentBytes := c.conn.Sent()
+	c.conn.Close()
+	open := c.open
+	c.open = nil
+	for _, r := range open {
+		r.c = nil
+		if sentBytes < r.to {
+			r.end(control.ConnectFailed)
+		} else {
+			r.end(why)
+		}
+	}
+	if len(c.l.queue) > 0 {
+		c.l.mark()
+	}
+}
+
+// Data implements loop.Handler.
+func (c *workerConn) Data(_ *loop.Conn, b []byte) int {
+	used, p := 0, c.l.s.p
+	for !c.ended {
+		a, n, err := lines.Next(b[used:])
+		if err != nil {
+			p.refuse("answer_spoilt")
+			c.end(control.Reset)
+			break
+		}
+		if n == 0 {
+			break
+		}
+		used += n
+		c.part = false
+		p.l.Cancel(&c.timer)
+		c.answer(&a)
+	}
+	if c.ended {
+		return len(b)
+	}
+	c.part = used < len(b)
+	c.awaits()
+	return used
+}
+
+// answer takes one answer; one that nobody waits for is dropped.
+func (c *workerConn) answer(a *lines.Answer) {
+	for i, r := range c.open {
+		if string(r.name[:r.n]) != string(a.ID) {
+			continue
+		}
+		last := len(c.open) - 1
+		c.open[i], c.open[last] = c.open[last], nil
+		c.open = c.open[:last]
+		r.c = nil
+		if len(c.l.queue) > 0 {
+			c.l.mark()
+		}
+		h := gateway.Reply{Result: a.Result, Found: a.Found, Crowd: -1, Copies: a.Copies}
+		h.Fields = lines.ReadReport(a.Report, c.l.s.report, h.Report[:], thrift.Decimal)
+		if r.f != nil {
+			r.f.Reply = h
+			r.f.Body = append(r.f.Body[:0], a.Body...)
+			r.f.End(a.Result)
+		} else {
+			r.o.Reply = h
+			r.o.End(a.Result)
+		}
+		return
+	}
+	c.l.s.p.refuse("answer_to_nothing")
+}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -11,53 +11,6 @@
 	"slices"
 )
 
-// Spec describes a fleet. Spans are seconds, memory is MB.
-type Spec struct {
-	Workers []WorkerSpec
-	Models  []ModelSpec
-	Store   StoreSpec
-	Seed    uint64
-}
-
-// WorkerSpec describes one worker.
-type WorkerSpec struct {
-	Name, Zone, Cell string
-	Cores            float64 // requests that run at full speed at once
-	Speed            float64 // of a core
-	MemoryMB         float64 // for copies
-	Queue            int     // requests that may wait there; more are turned away as full
-	Loads            int     // loads at a time
-	OnMiss           string  // "load" while the request waits, or "miss"
-	Keep             float64 // s an idle copy stays
-	Disk             bool    // keeps images, which spare the fetch
-	StopsCancelled   bool    // work of a connection that was closed stops
-	ColdShare        float64 // of capacity right after a start
-	WarmAfter        float64 // s until full capacity
-	Overload, Fall   float64 // sent more than so many times its present capacity for so long, a cold worker falls over
-	DedupWindow      float64 // s for which repeats of a mark are dropped
-	DedupScope       string  // among "all" workers, those of its "zone" or of its "cell"
-}
-
-// ModelSpec describes models by name or pattern; the first that fits holds.
-type ModelSpec struct {
-	Name        string
-	Group       string
-	MemoryMB    float64
-	Lanes       int
-	Work        float64 // s of a core, mean
-	Fetch, Boot float64 // s of a load: from the store, and on the worker
-	Deduped     bool
-	Window      float64 // s for which repeats of a mark are dropped; 0: the worker's
-	Scope       string  // among which workers; empty: the worker's
-	AnswerBytes int
-}
-
-// StoreSpec describes the shared store.
-type StoreSpec struct {
-	Slots int // fetches at full speed at once; more share it
-	Limit int // fetches at once; more are turned away
-}
-
 // State is where a request stands.
 type state uint8
 
@@ -140,36 +93,6 @@
 
 type sent struct{ at, work float64 }
 
-// Fault is a trouble of a worker, a set of workers, or the store.
-type Fault struct {
-	Kind   string  // see Kinds
-	Worker string  // name or pattern; empty for all
-	Share  float64 // of requests hit, 0 to 1; 0 means all
-	Factor float64 // of slowness
-	Span   float64 // s it lasts
-	What   string  // the tenant or model group meant
-	since  float64
-	until  float64
-}
-
-// Kinds are the troubles known, each with what it does.
-var Kinds = map[string]string{
-	"fast_errors":   "answers 500 at once to a share of inferences",
-	"hang":          "takes inferences and answers none",
-	"vanish":        "goes away with its connections and comes back cold under its name",
-	"slow":          "works slower by the factor",
-	"pauses":        "stands still for 0.3 s in every second",
-	"ageing":        "works slower and slower, then vanishes for 3 s",
-	"flush":         "loses all copies and images, once",
-	"report_late":   "repeats the load report of when it began",
-	"slow_connect":  "answers nothing on a new connection for its first 0.2 s",
-	"refuse_tenant": "turns one tenant's inferences away as full",
-	"silent_group":  "takes one model group's inferences and answers none",
-	"store_slow":    "the store is slower by the factor",
-	"reset":         "resets the connection in mid-answer for a share of inferences",
-	"cut":           "cuts a share of the answers short",
-}
-
 // Fleet is the model. Its methods take the time, in seconds, which never goes back.
 type Fleet struct {
 	Log       func(now float64, worker, event string, r *Req) // may be nil
@@ -402,113 +325,6 @@
 	f.log(w, "turned", r)
 }
 
-// push books work sent to a cold worker; too much of it in the span pushes the worker over.
-func (f *Fleet) push(w *worker, work float64) {
-	if f.now-w.start >= w.WarmAfter || w.Overload <= 0 {
-		w.sent = w.sent[:0]
-		return
-	}
-	w.sent = append(w.sent, sent{f.now, work})
-	for len(w.sent) > 0 && w.sent[0].at < f.now-w.Fall {
-		w.sent = w.sent[1:]
-	}
-	sum := 0.0
-	for _, s := range w.sent {
-		sum += s.work
-	}
-	limit := w.Overload * w.capacity(f.now) * w.Cores * w.Speed * w.Fall
-	if len(w.sent) > 2 {
-		f.Nearest = math.Max(f.Nearest, sum/limit)
-	}
-	if len(w.sent) > 2 && sum > limit {
-		w.fell = true
-		f.log(w, "fell", nil)
-		f.vanish(w, math.Inf(1))
-	}
-}
-
-// order takes a load order.
-func (f *Fleet) order(w *worker, r *Req, spec *ModelSpec) {
-	f.log(w, "order", r)
-	if x, ok := w.faults["hang"]; ok {
-		_ = x
-		r.Fault = true
-		return
-	}
-	c := w.at(r.Model, spec)
-	c.idleAt = f.now
-	if c.stand >= r.Copies {
-		r.Verdict, r.EndAt = Served, f.now
-		r.Copies = c.stand
-		return
-	}
-	if !c.isLoading && !f.load(w, c) {
-		r.Verdict, r.EndAt, r.Copies = TurnFull, f.now, c.stand
-		return
-	}
-	c.orders = append(c.orders, r)
-}
-
-// load begins to load one more copy, if there is room.
-func (f *Fleet) load(w *worker, c *copies) bool {
-	n := 0
-	for _, o := range w.order {
-		if o.isLoading {
-			n++
-		}
-	}
-	if n >= w.Loads {
-		return false
-	}
-	for w.memory+c.spec.MemoryMB > w.MemoryMB {
-		var idle *copies
-		for _, o := range w.order {
-			if o != c && o.stand > o.busy && len(o.waiting) == 0 && (idle == nil || o.idleAt < idle.idleAt) {
-				idle = o
-			}
-		}
-		if idle == nil {
-			return false
-		}
-		f.unload(w, idle)
-	}
-	c.isLoading, c.boot, c.loading = true, math.Max(1e-6, c.spec.Boot), 0
-	w.memory += c.spec.MemoryMB
-	if !c.image {
-		if f.spec.Store.Limit > 0 && f.fetches >= f.spec.Store.Limit {
-			f.Refused++
-			c.isLoading = false
-			w.memory -= c.spec.MemoryMB
-			return false
-		}
-		f.fetches++
-		f.stale = true
-		f.Fetched++
-		c.loading = math.Max(1e-6, c.spec.Fetch)
-		f.log(w, "fetch", &Req{Model: c.name})
-	}
-	f.log(w, "load", &Req{Model: c.name})
-	return true
-}
-
-func (f *Fleet) unload(w *worker, c *copies) {
-	c.stand--
-	w.memory -= c.spec.MemoryMB
-	f.log(w, "unload", &Req{Model: c.name})
-}
-
-// Unload drops the idle copies of a model.
-func (f *Fleet) Unload(now float64, i int, model string) {
-	w := f.workers[i]
-	f.enter(now, w)
-	defer f.leave(w)
-	if c := w.models[model]; c != nil {
-		for c.stand > c.busy {
-			f.unload(w, c)
-		}
-	}
-}
-
 // dispatch lets waiting requests run while there are lanes.
 func (f *Fleet) dispatch(w *worker, c *copies) {
 	for len(c.waiting) > 0 && c.busy < c.stand*max(1, c.spec.Lanes) {
