--- a/control/admission.go
+++ b/control/admission.go
@@ -27,12 +27,10 @@
 	if q.NotAfter < r.notAfter { // not so where it is no number
 		r.notAfter = q.NotAfter
 	}
-	if q.Work > 0 && q.Work < never {
-		r.group.meanWork += smoothing * (q.Work - r.group.meanWork)
-	}
 	work := r.group.meanWork
-	if q.Work > 0 {
+	if q.Work > 0 && q.Work < never {
 		work = q.Work
+		r.group.meanWork += smoothing * (work - r.group.meanWork)
 	}
 	r.slo = math.Min(r.group.slo+r.group.sloStretch*work, r.group.timeout)
 	r.class = min(int(q.Group), len(d.groups)-1) * d.tenantClasses
--- a/control/control.go
+++ b/control/control.go
@@ -85,10 +85,7 @@
 	for _, g := range s.groups {
 		g.loadTime, g.runTime, g.meanWork = firstLoad, firstRun*g.slo, firstRun*g.slo
 	}
-	for _, quota := range s.quotas {
-		q := quota / s.dispatchers
-		d.tenants = append(d.tenants, &tenant{quota: q, tokens: math.Max(1, q)})
-	}
+	d.tenants = newTenants(s.quotas, s.dispatchers)
 	if d.tenantClasses = max(1, len(d.tenants)); len(s.groups)*d.tenantClasses > classesMax {
 		d.tenantClasses = 1
 	}
--- a/control/outcome.go
+++ b/control/outcome.go
@@ -9,17 +9,15 @@
 		return
 	}
 	a := &r.attempts[o.Attempt]
-	w, m := a.worker, r.model
-	rep := m.replica(w)
+	w, rep := a.worker, r.model.replica(a.worker)
 	d.heardNews = true
 	d.queuedWork(w)
 	d.settleAttempt(r, a, rep)
 	if a.state = attemptMayHaveRun; o.Result.NeverRan() {
 		a.state = attemptNeverRan
 	}
-	side := &w.classes[r.class]
-	if o.Result.Heard() {
-		side.answeredAt, side.answeredWell = d.now, o.Result == Returned || o.Result == Missed
+	if class := &w.classes[r.class]; o.Result.Heard() {
+		class.answeredAt, class.answeredWell = d.now, o.Result == Returned || o.Result == Missed
 	}
 	d.takeReport(w, o.Report, reportSmoothing)
 	if o.Result == Returned && o.Attempt > 0 {
@@ -29,15 +27,7 @@
 	}
 	switch o.Result {
 	case Returned:
-		d.learn(r, a, o)
-		d.recordResult(&w.health, true)
-		d.recordResult(side, true)
-		if a.sentAt > w.Start {
-			rep.warmUntil = d.now + d.keepAlive
-		}
-		d.loadSettled(rep)
-		d.releaseHeld(rep, true)
-		d.finish(r)
+		d.returned(r, a, o)
 		return
 	case Missed:
 		rep.warmUntil = math.Inf(-1)
@@ -48,14 +38,7 @@
 			return
 		}
 	case Full:
-		h := d.failureScope(w, r.class, a.sentAt-failureScopeSpan)
-		a.rejected, h.fullCount = d.sparseTraffic, h.fullCount+1
-		until := d.now + math.Min(fullBackoff*math.Exp2(h.fullCount-1), fullBackoffMax)
-		if a.loading && m.preferred == 1 { // no room for the copy, or too many loads: warm copies may still do well
-			w.noLoadUntil = until
-		} else {
-			h.fullUntil = until
-		}
+		d.rest(r, a)
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if o.Found == LoadFailed {
 			rep.warmUntil = math.Inf(-1)
@@ -72,6 +55,32 @@
 	}
 }
 
+// returned learns from a good answer, and lets those held for it go.
+func (d *Dispatcher) returned(r *request, a *attempt, o Outcome) {
+	w, rep := a.worker, r.model.replica(a.worker)
+	d.learn(r, a, o)
+	d.recordResult(&w.health, true)
+	d.recordResult(&w.classes[r.class], true)
+	if a.sentAt > w.Start {
+		rep.warmUntil = d.now + d.keepAlive
+	}
+	d.loadSettled(rep)
+	d.releaseHeld(rep, true)
+	d.finish(r)
+}
+
+// rest gives a worker that turned an attempt away some time without new work of that class, or without loads.
+func (d *Dispatcher) rest(r *request, a *attempt) {
+	h := d.failureScope(a.worker, r.class, a.sentAt-failureScopeSpan)
+	a.rejected, h.fullCount = d.sparseTraffic, h.fullCount+1
+	until := d.now + math.Min(fullBackoff*math.Exp2(h.fullCount-1), fullBackoffMax)
+	if a.loading && r.model.preferred == 1 { // no room for the copy, or too many loads: warm copies may do well
+		a.worker.noLoadUntil = until
+	} else {
+		h.fullUntil = until
+	}
+}
+
 // Probed takes the report that answers a probe; requests held for it are placed.
 func (d *Dispatcher) Probed(o ProbeResult) {
 	if w := d.workersByID[o.Worker]; w != nil && o.Result == Returned {
--- a/control/placement.go
+++ b/control/placement.go
@@ -63,18 +63,34 @@
 	return limit
 }
 
-// leastLoaded returns the replica with least queued work, load included where no warm copy is believed. Costs
-// too near to tell apart are ties; they go by a hash of model and worker that all dispatchers share: so they
-// agree unasked on where a model lives, and return to where a copy or an image may still be.
+// leastLoaded returns the replica with least queued work, load included; nil where the request has to wait.
 func (d *Dispatcher) leastLoaded(r *request, warmOnly bool) *replica {
-	m, low, resting := r.model, math.Inf(1), false
+	m := r.model
+	resting, timely := d.queueCosts(r)
+	d.markPreferred(m)
+	best := d.cheapest(r, d.addLoadCosts(r, warmOnly))
+	r.tooLate = r.tooLate && best == nil && !resting
+	// A worker that turned a load away is waited for: left for another, its models are loaded twice, push others
+	// out, and the fleet has more to load than before. It harms where a worker has no room for long.
+	if best == nil || !d.hasCapacity(r, best) ||
+		r.attempted == 0 && !best.warm && (m.peek(best).noRoomUntil > d.now || best.noLoadUntil > d.now) {
+		if timely {
+			d.youngestTimely = math.Max(d.youngestTimely, r.arrivedAt)
+		}
+		return nil
+	}
+	return m.replica(best)
+}
+
+// queueCosts sets each worker's cost: what the request would wait and run there without a load, +Inf where it
+// can't go now. It tells whether some worker merely rests, and whether one would answer within the SLO time.
+func (d *Dispatcher) queueCosts(r *request) (resting, timely bool) {
+	m, aim, until := r.model, r.arrivedAt+r.slo, r.notAfter
 	d.candidates, r.tooLate, r.barred = d.candidates[:0], false, true
-	aim, timely := r.arrivedAt+r.slo, false
-	until := r.notAfter
 	if d.youngestTimely > math.Max(r.arrivedAt+preemptAge*r.slo, d.now-r.slo) {
 		until = math.Min(until, aim) // a younger one that is held could be in time: late answers feed an overload
 	}
-	choice := 0.0
+	admitting := 0.0
 	for _, w := range d.workers {
 		w.cost = math.Inf(1)
 		if !d.allowed(r, w) {
@@ -85,11 +101,11 @@
 		end := d.now + queue/workerSlots + min(m.runTime, r.slo)/2
 		timely = timely || end <= aim
 		late := end > until // the wait outlasts the client
-		if open := d.admits(r, w); !open || late {
-			resting, r.tooLate = resting || !open, r.tooLate || late
+		if admits := d.admits(r, w); !admits || late {
+			resting, r.tooLate = resting || !admits, r.tooLate || late
 			continue
 		}
-		choice++
+		admitting++
 		w.cost = (queue + m.runTime) / d.capacityShare(w)
 		// A quick error must not make a worker look empty: its failures count as work to be done again.
 		w.cost += max(w.failureShare, w.classes[r.class].failureShare) * (m.loadTime + r.slo)
@@ -99,7 +115,12 @@
 		w.rank = hash(uint64(m.id)*0x9e3779b97f4a7c15 ^ uint64(w.ID))
 		d.candidates = append(d.candidates, w)
 	}
-	d.admittingShare = math.Min(1, math.Max(choice, 1)/math.Max(1, float64(d.readyWorkers)))
+	d.admittingShare = math.Min(1, math.Max(admitting, 1)/math.Max(1, float64(d.readyWorkers)))
+	return resting, timely
+}
+
+// markPreferred marks the candidates that all dispatchers prefer for a model that should live on several.
+func (d *Dispatcher) markPreferred(m *model) {
 	if d.sparseTraffic {
 		d.candidates = topRanked(d.candidates, max(m.preferred, probeCount))
 	}
@@ -108,50 +129,52 @@
 			w.preferredAt = d.placements
 		}
 	}
+}
+
+// addLoadCosts adds a load to the cost of workers without a warm copy, and returns the lowest cost.
+func (d *Dispatcher) addLoadCosts(r *request, warmOnly bool) Seconds {
+	m, low := r.model, math.Inf(1)
 	for _, w := range d.workers {
-		if w.cost <= math.MaxFloat64 {
-			rep := m.peek(w)
-			if w.warm = rep.warmUntil >= d.now || w.preferredAt == d.placements; !w.warm {
-				// Loads run beside the work of warm copies: those pending hold up only another load.
-				w.cost += m.loadTime
-				if warmOnly || d.now+w.pendingLoads/parallelLoads > r.notAfter {
-					w.cost = math.Inf(1) // or the loads pending there outlast the client's time
-				}
+		if w.cost > math.MaxFloat64 {
+			continue
+		}
+		if w.warm = m.peek(w).warmUntil >= d.now || w.preferredAt == d.placements; !w.warm {
+			// Loads run beside the work of warm copies: those pending hold up only another load.
+			w.cost += m.loadTime
+			if warmOnly || d.now+w.pendingLoads/parallelLoads > r.notAfter {
+				w.cost = math.Inf(1) // or the loads pending there outlast the client's time
 			}
-			low = min(low, w.cost)
 		}
+		low = min(low, w.cost)
 	}
+	return low
+}
+
+// cheapest picks among the workers whose costs are too near the lowest to tell apart. Ties go by a hash that
+// all dispatchers share: they agree unasked on where a model lives, and return to where a copy may still be.
+func (d *Dispatcher) cheapest(r *request, low Seconds) *worker {
 	var best *worker
-	top, band, width := uint64(0), low+tieBand*m.loadTime, d.concurrencyLimit(r)
+	m, limit, top := r.model, d.concurrencyLimit(r), uint64(0)
+	band := low + tieBand*m.loadTime
 	for _, w := range d.workers {
 		if w.cost > band || w.cost > math.MaxFloat64 {
 			continue
 		}
-		h := w.rank >> 2
+		rank := w.rank >> 2
 		if w.warm {
 			if d.sparseTraffic { // by cost, ties by chance: peers see the same reports
-				h = uint64(1e18 / (1 + w.cost + tieWarm*m.runTime*d.rnd.float()))
+				rank = uint64(1e18 / (1 + w.cost + tieWarm*m.runTime*d.rnd.float()))
 			}
-			h |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
+			rank |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
 		}
-		if float64(w.pending-w.pendingCold) < width {
-			h |= 1 << 62
+		if float64(w.pending-w.pendingCold) < limit {
+			rank |= 1 << 62
 		}
-		if best == nil || h > top {
-			best, top = w, h
-		}
-	}
-	r.tooLate = r.tooLate && best == nil && !resting
-	// A worker that turned a load away is waited for: left for another, its models are loaded twice, push others
-	// out, and the fleet has more to load than before. It harms where a worker has no room for long.
-	if best == nil || !d.hasCapacity(r, best) ||
-		r.attempted == 0 && !best.warm && (m.peek(best).noRoomUntil > d.now || best.noLoadUntil > d.now) {
-		if timely {
-			d.youngestTimely = math.Max(d.youngestTimely, r.arrivedAt)
+		if best == nil || rank > top {
+			best, top = w, rank
 		}
-		return nil
 	}
-	return m.replica(best)
+	return best
 }
 
 // dispatch wants an attempt at a replica and books it in the ledger.
--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,15 @@
 	updatedAt Seconds
 }
 
+// newTenants makes the tenants, each with one dispatcher's part of its quota.
+func newTenants(quotas []float64, dispatchers float64) (all []*tenant) {
+	for _, quota := range quotas {
+		part := quota / dispatchers
+		all = append(all, &tenant{quota: part, tokens: math.Max(1, part)})
+	}
+	return all
+}
+
 // Dispatcher is the state of one dispatcher.
 type Dispatcher struct {
 	settings
--- a/control/worker.go
+++ b/control/worker.go
@@ -162,3 +162,15 @@
 		}
 	}
 }
+
+// restarted forgets what was believed of a worker that started anew: it is empty, and owed a new judgement.
+func (d *Dispatcher) restarted(w *worker) {
+	for _, m := range d.models {
+		if w.index < len(m.replicas) && m.replicas[w.index] != nil {
+			m.replicas[w.index].warmUntil, m.replicas[w.index].noRoomUntil = math.Inf(-1), 0
+		}
+	}
+	clear(w.classes)
+	w.health, w.coldNextAt = health{}, math.Inf(-1)
+	d.countWorkers()
+}
