--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -170,7 +170,7 @@
 // span returns a clock time as seconds since the dispatcher's start.
 func (d *dispatcher) span(clock uint64) float64 { return float64(int64(clock-d.origin)) / micro }
 
-// event decodes one event and hands it to its module. Events for a dispatcher that is not up are read and
+// event decodes one event and hands it to its module; a switch of all codes reads better whole. Events for a dispatcher that is not up are read and
 // passed over.
 func (h *host) event(rd *reader, code, number uint16, clock uint64) error {
 	if code == evBegin {
