Platform: a reload while a start waits counts, and is compared with what is in force

Lines at fault: newWhenFree passed over SIGHUP; Reload kept each file as d.file; feed.skipped used ListFailed. Tests, seen to fail without: TestReloadWhileAStartWaits, TestReloadNamesWhatItLeaves. The log's words have no test.

--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// Skipped tells that a part of a source could not be read and was left out; the rest of it is in force.
+func (g *Gateway) Skipped(err error) {
+	g.log.Warn().Err(err).Msg("an entry of the list of workers was left out; the others are in force")
+	g.Metrics.listFailed.Inc()
+}
+
 func (g *Gateway) changed(list []*membership.Worker) {
 	var tell []*Worker
 	for _, r := range list {
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -272,7 +272,8 @@
 	}
 }
 
+// skipped counts and logs what was left out of the change log; the rest of it was taken.
 func (f *feed) skipped(why string, err error) {
 	f.told(why)
-	f.g.ListFailed(err)
+	f.g.Skipped(err)
 }
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -259,6 +259,11 @@
 	if r.file.differs(r.file) != nil {
 		t.Error("nothing changed")
 	}
+	out.Reset()
+	r.on(func() { r.d.Reload(r.file) })
+	if strings.Contains(out.String(), "fields") {
+		t.Errorf("what was started by is told as a change: %s", out.String())
+	}
 }
 
 // A start waits for an address that the process before still holds, and heeds a signal meanwhile.
@@ -273,7 +278,7 @@
 	sig := make(chan os.Signal, 2)
 	sig <- syscall.SIGHUP
 	sig <- syscall.SIGTERM
-	if d, err := newWhenFree(f, zerolog.Nop(), sig); d != nil || err != nil {
+	if d, err := newWhenFree(f, "", zerolog.Nop(), sig); d != nil || err != nil {
 		t.Errorf("told to stop: %v %v", d, err)
 	}
 	fds := func() int { list, _ := os.ReadDir("/proc/self/fd"); return len(list) }
@@ -287,7 +292,7 @@
 		t.Errorf("%d descriptors after failed starts, %d before", n, was)
 	}
 	before.Close()
-	d, err := newWhenFree(f, zerolog.Nop(), sig)
+	d, err := newWhenFree(f, "", zerolog.Nop(), sig)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -298,6 +303,40 @@
 	}
 }
 
+// A SIGHUP while a start waits for its address has the configuration read anew, here with another address.
+func TestReloadWhileAStartWaits(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer before.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	free := runFile(t)
+	held := strings.Replace(free, "127.0.0.1:0", before.Addr().String(), 1)
+	f, err := parseFile([]byte(held))
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(path, []byte(free), 0o600)
+	sig := make(chan os.Signal, 3)
+	sig <- syscall.SIGHUP
+	d, err := newWhenFree(f, path, zerolog.Nop(), sig)
+	if err != nil || d == nil {
+		t.Fatalf("%v %v", d, err)
+	}
+	go func() { d.ended <- d.Loop.Run() }()
+	d.Loop.Stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+	os.WriteFile(path, []byte("{"), 0o600) // one that can't be read leaves the start waiting by the old one
+	sig <- syscall.SIGHUP
+	sig <- syscall.SIGTERM
+	if d, err := newWhenFree(f, path, zerolog.Nop(), sig); d != nil || err != nil {
+		t.Errorf("told to stop: %v %v", d, err)
+	}
+}
+
 // The process itself: a start that can't be, signals before it serves, an unreadable file in service, and a stop.
 func TestRunBySignals(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -38,7 +38,7 @@
 	front   *front
 	feed    *feed
 	log     zerolog.Logger
-	file    *File // as it was read last
+	file    *File // that it was started by, and that is in force but for the change log
 	timeout float64
 	stop    loop.Timer
 	told    loop.Timer // tells now and then what was refused
@@ -103,7 +103,6 @@
 	if other := d.file.differs(f); len(other) > 0 {
 		d.log.Warn().Strs("fields", other).Msg("these changed too, and are in force after a restart only")
 	}
-	d.file = f
 	if err := d.feed.take(&f.Known); err != nil {
 		d.log.Error().Err(err).Msg("the list of workers in the configuration was not taken")
 	}
@@ -120,9 +119,10 @@
 	d.Loop.Start(&d.stop, stopServe)
 }
 
-// newWhenFree makes a dispatcher; while another process holds the address, which mostly is the one before and about to
-// end, it tries again. It returns nil where it is told to stop meanwhile.
-func newWhenFree(f *File, log zerolog.Logger, sig <-chan os.Signal) (*Dispatcher, error) {
+// newWhenFree makes a dispatcher by the configuration at a path; while another process holds the address, which mostly is
+// the one before and about to end, it tries again. A SIGHUP meanwhile has it read the configuration anew. It returns nil
+// where it is told to stop.
+func newWhenFree(f *File, path string, log zerolog.Logger, sig <-chan os.Signal) (*Dispatcher, error) {
 	for start := time.Now(); ; {
 		d, err := New(f, log)
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(start).Seconds() > listenFor {
@@ -130,9 +130,14 @@
 		}
 		select {
 		case s := <-sig:
-			if s != syscall.SIGHUP { // the file is as new as this start
+			if s != syscall.SIGHUP {
 				return nil, nil
 			}
+			if n, err := ReadFile(path); err != nil {
+				log.Error().Err(err).Msg("configuration not read; the old one stays in force")
+			} else {
+				f = n
+			}
 		case <-time.After(time.Duration(listenGap * float64(time.Second))):
 		}
 	}
@@ -159,7 +164,7 @@
 	runtime.GOMAXPROCS(1)
 	log, flush := app.Logger(config.Log{Level: "info", Format: "json"}, out)
 	defer flush()
-	d, err := newWhenFree(f, log, sig)
+	d, err := newWhenFree(f, path, log, sig)
 	if d == nil && err == nil {
 		log.Info().Msg("told to stop before the address was free")
 		return app.ExitOK
