Decisions: called-off attempts count at their worker until their work is over

Seen: clients give up after a fraction of the SLO time and ask again, 3.1 tries a request, a third of the attempts 'full' at once. Lines at fault: settleAttempt and hasCapacity took what was called off as gone. Change: such an attempt counts towards the limit, and as queued work where traffic is not sparse, for about an answer time (an exponential of the mean answer time; no new constant). No setting tells whether a cancel stops work, so all deployments get it.

--- a/control/control.go
+++ b/control/control.go
@@ -67,14 +67,10 @@
 	s, r := read(from)
 	d := &Dispatcher{settings: s, settingErrors: append(r.wrong, r.unknown...), actions: a, rnd: newRandom(seed)}
 	d.models, d.workersByID, d.inFlight.byID = map[ModelID]*model{}, map[WorkerID]*worker{}, map[RequestID]int{}
-	d.retryTokens, d.retrySuccess, d.admittingShare = retryTokensMax, 1, 1
-	d.runTime = firstRun
+	d.retryTokens, d.retrySuccess, d.admittingShare, d.runTime = retryTokensMax, 1, 1, firstRun
 	if d.subscribeBackoff = subscribeBackoffMin; s.discovery != "ask" {
 		d.subscribeAt = never
 	}
-	if !s.retryAfter {
-		d.retryAfterMax = 0
-	}
 	d.loadOrders = s.mayOrder && s.onMiss == "miss"
 	d.probesMax = int(math.Min(probeCount, probeBudget/math.Max(shareMin*probeBudget, s.probePrice)))
 	for i, field := range s.reportFields {
--- a/control/estimates.go
+++ b/control/estimates.go
@@ -43,15 +43,16 @@
 	if d.sparseTraffic && len(d.inFlightFields) > 0 {
 		return max(w.queued, d.estimatedInFlight(w)*d.runTime/workerCores)
 	}
+	own := w.queued + w.stillAbandoned(d.now, d.runTime)*d.runTime
 	if d.dispatchers > 1 && w.meanQueuedAt < d.now {
 		if d.meanFrom != w.meanQueuedAt || d.meanTo != d.now { // most were looked at together the last time too
 			d.meanFrom, d.meanTo = w.meanQueuedAt, d.now
 			d.meanWeight = 1 - math.Exp((d.meanFrom-d.meanTo)/peerWorkSpan)
 		}
-		w.meanQueued += (w.queued - w.meanQueued) * d.meanWeight
+		w.meanQueued += (own - w.meanQueued) * d.meanWeight
 		w.meanQueuedAt = d.now
 	}
-	return w.queued + (d.dispatchers-1)*w.meanQueued
+	return own + (d.dispatchers-1)*w.meanQueued
 }
 
 // estimatedInFlight is how many requests a worker holds by its reports, drawn as they age to what the fleet
--- a/control/outcome.go
+++ b/control/outcome.go
@@ -25,6 +25,9 @@
 	} else if o.Attempt > 0 && o.Result != Cancelled && o.Result != Missed {
 		d.retrySuccess -= smoothing * d.retrySuccess
 	}
+	if o.Result == Cancelled || o.Result == TimedOut {
+		w.abandon(d.now, d.runTime) // it may work on: else an impatient crowd would seem to cost nothing
+	}
 	switch o.Result {
 	case Returned:
 		d.returned(r, a, o)
--- a/control/placement.go
+++ b/control/placement.go
@@ -50,7 +50,7 @@
 
 // hasCapacity tells whether the worker is under its concurrency limit.
 func (d *Dispatcher) hasCapacity(r *request, w *worker) bool {
-	return float64(w.pending-w.pendingCold) < d.concurrencyLimit(r)
+	return w.concurrency(d.now, d.runTime) < d.concurrencyLimit(r)
 }
 
 // concurrencyLimit is how many own attempts a worker may have out. Requests that can no longer be in time, or
@@ -167,7 +167,7 @@
 			}
 			rank |= 1 << 63 // a warm copy before any hash, also where it has to be waited for
 		}
-		if float64(w.pending-w.pendingCold) < limit {
+		if w.concurrency(d.now, d.runTime) < limit {
 			rank |= 1 << 62
 		}
 		if best == nil || rank > top {
--- a/control/settings.go
+++ b/control/settings.go
@@ -68,6 +68,9 @@
 		retryAfterMax:  r.number("limits.max_retry_after", 0, 0, never),
 		probePrice:     r.number("prices.probe", 0, 0, never),
 	}
+	if !s.retryAfter {
+		s.retryAfterMax = 0
+	}
 	for i := range r.count("load_report.fields") {
 		s.reportFields = append(s.reportFields, from.Text("load_report.fields."+strconv.Itoa(i)))
 	}
--- a/control/worker.go
+++ b/control/worker.go
@@ -51,6 +51,8 @@
 	pendingLoads Seconds // load times of own cold groups there
 	pending      int
 	coldNextAt   Seconds // cold budget: the next attempt fits then
+	abandoned    float64 // called-off attempts it may still work on, as of abandonedAt
+	abandonedAt  Seconds
 	pendingCold  int     // own attempts out that wait for a load
 	noLoadUntil  Seconds // it turned a load away; none until then
 	cost         Seconds // what the request at hand would wait there
@@ -171,6 +173,24 @@
 		}
 	}
 	clear(w.classes)
-	w.health, w.coldNextAt = health{}, math.Inf(-1)
+	w.health, w.coldNextAt, w.abandoned = health{}, math.Inf(-1), 0
 	d.countWorkers()
 }
+
+// abandon counts one more called-off attempt that the worker may still work on; each counts for about so long.
+func (w *worker) abandon(now, span Seconds) {
+	w.abandoned, w.abandonedAt = w.stillAbandoned(now, span)+1, now
+}
+
+// stillAbandoned is how many of those it may still work on.
+func (w *worker) stillAbandoned(now, span Seconds) float64 {
+	if w.abandoned == 0 {
+		return 0
+	}
+	return w.abandoned * math.Exp((w.abandonedAt-now)/math.Max(span, spanMin))
+}
+
+// concurrency is how many own attempts it has out that wait for no load, called-off ones included.
+func (w *worker) concurrency(now, span Seconds) float64 {
+	return float64(w.pending-w.pendingCold) + w.stillAbandoned(now, span)
+}
