--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -140,13 +140,22 @@
 // again sets the next poll.
 func (f *feed) again(failed bool) {
 	f.out = false
-	if failed {
-		f.gap = math.Min(pollMost, math.Max(pollFirst, 2*f.gap))
-	} else {
-		f.gap = 0
+	f.gap = nextBackoff(f.gap, failed)
+	f.l.Start(&f.timer, pollDelay(f.gap, f.g.Chance(), f.l.Now()-f.asked))
+}
+
+// nextBackoff doubles the gap after each poll that failed, within bounds; a good one ends it.
+func nextBackoff(gap float64, failed bool) float64 {
+	if !failed {
+		return 0
 	}
-	jitter := 0.5 + 0.5*f.g.Chance() // after an outage all dispatchers would ask in step
-	f.l.Start(&f.timer, math.Max(f.gap*jitter, pollLeast-(f.l.Now()-f.asked)))
+	return math.Min(pollMost, math.Max(pollFirst, 2*gap))
+}
+
+// pollDelay is how long to wait for the next poll, by chance from 0 to 1: after an outage all dispatchers would else ask
+// in step. One that was asked a moment ago waits a little in any case.
+func pollDelay(gap, chance, sinceAsked float64) float64 {
+	return math.Max(gap*(0.5+0.5*chance), pollLeast-sinceAsked)
 }
 
 // Head implements h1.Caller.
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -231,6 +232,33 @@
 	}
 }
 
+// Polls that fail back off, doubling within bounds, and no two dispatchers' chance puts them in step.
+func TestPollsBackOffWithJitter(t *testing.T) {
+	gap := 0.0
+	for i, want := range []float64{0.05, 0.1, 0.2, 0.4, 0.8, 1, 1} {
+		if gap = nextBackoff(gap, true); math.Abs(gap-want) > 1e-9 {
+			t.Errorf("gap %d is %g, want %g", i, gap, want)
+		}
+		early, late := pollDelay(gap, 0, 9), pollDelay(gap, 1, 9)
+		if math.Abs(early-gap/2) > 1e-9 || math.Abs(late-gap) > 1e-9 {
+			t.Errorf("a gap of %g is drawn from %g to %g", gap, early, late)
+		}
+	}
+	if gap = nextBackoff(gap, false); gap != 0 || pollDelay(gap, 0.5, 0.005) != pollLeast-0.005 || pollDelay(gap, 0.5, 1) != 0 {
+		t.Errorf("after a good one: %g, %g, %g", gap, pollDelay(gap, 0.5, 0.005), pollDelay(gap, 0.5, 1))
+	}
+	a, b := newRig(t, "load"), &rig{t: t, log: newChangeLog(t)}
+	b.file = rigFile(t, b.log, "load")
+	b.file.seed++ // the platform gives each dispatcher another one
+	b.start()
+	var first, second float64
+	a.on(func() { first = a.d.Gateway.Chance() })
+	b.on(func() { second = b.d.Gateway.Chance() })
+	if first == second {
+		t.Error("two dispatchers draw the same")
+	}
+}
+
 // An event that tells an older start of a worker does not make a cold one warm.
 func TestLatestStartHolds(t *testing.T) {
 	r := newRig(t, "load")
