--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -62,58 +62,39 @@
 func (rep *Report) fill(day *Day, e *Evidence) {
 	rep.Day, rep.Findings, rep.Slices = day.Name, Judge(e), timeline(day, e)
 	rep.Marks, rep.Held = day.marks(), held(day, e)
-	type callOf struct {
-		group    string
-		first    float64
-		returned float64
+	rep.fillGroups(day, e)
+	half := math.Inf(1)
+	if len(e.Tries) > 0 {
+		half = e.Tries[0].Sent + day.Seconds.Seconds/2
 	}
-	calls := map[string]*callOf{}
-	by := map[string]*GroupReport{}
-	hist := map[string]*hdrhistogram.Histogram{}
+	rep.fillRecords(e, half)
+}
+
+// callOf is a call over all its tries.
+type callOf struct {
+	group    string
+	first    float64 // when its first try was sent
+	returned float64 // when it was answered well, 0 if it was not
+}
+
+// fillGroups counts calls and their answers by model group, and weighs them by value.
+func (rep *Report) fillGroups(day *Day, e *Evidence) {
+	by, hist := map[string]*GroupReport{}, map[string]*hdrhistogram.Histogram{}
+	slo := map[string]float64{}
 	for i, h := range newHistograms(len(day.Settings.Groups)) {
-		name := day.Settings.Groups[i].Name
-		by[name], hist[name] = &GroupReport{Name: name}, h
-	}
-	for _, t := range e.Tries {
-		g := by[t.Group]
-		c := calls[t.Key]
-		if c == nil {
-			c = &callOf{group: t.Group, first: t.Sent}
-			calls[t.Key] = c
-			g.Asked++
-		}
-		if t.Sent < c.first {
-			c.first = t.Sent
-		}
-		g.Tries++
-		switch {
-		case t.Answer == "returned":
-			c.returned = t.Answered
-		case t.Answer == "shed":
-			g.Shed++
-		case t.Answer == "failed":
-			g.Failed++
-		case t.Left:
-			g.Left++
-		default:
-			g.Refused++
-		}
+		g := day.Settings.Groups[i]
+		by[g.Name], hist[g.Name], slo[g.Name] = &GroupReport{Name: g.Name}, h, g.SLO.Seconds
 	}
-	for _, c := range calls {
+	for _, c := range countTries(e, by) {
 		if c.returned == 0 {
 			continue
 		}
 		took := c.returned - c.first
 		hist[c.group].RecordValue(int64(took * 1e6))
-		for _, g := range day.Settings.Groups {
-			if g.Name != c.group {
-				continue
-			}
-			if took <= g.SLO.Seconds {
-				by[c.group].InSLO++
-			} else {
-				by[c.group].Late++
-			}
+		if took <= slo[c.group] {
+			by[c.group].InSLO++
+		} else {
+			by[c.group].Late++
 		}
 	}
 	got, asked := 0.0, 0.0
@@ -131,11 +112,39 @@
 	if asked > 0 {
 		rep.Service = got / asked
 	}
-	warm, served2, warm2 := 0, 0, 0
-	half := math.Inf(1)
-	if len(e.Tries) > 0 {
-		half = e.Tries[0].Sent + day.Seconds.Seconds/2
+}
+
+// countTries counts tries by model group, and returns the calls they belong to.
+func countTries(e *Evidence, by map[string]*GroupReport) map[string]*callOf {
+	calls := map[string]*callOf{}
+	for _, t := range e.Tries {
+		g, c := by[t.Group], calls[t.Key]
+		if c == nil {
+			c = &callOf{group: t.Group, first: t.Sent}
+			calls[t.Key] = c
+			g.Asked++
+		}
+		c.first = min(c.first, t.Sent)
+		g.Tries++
+		switch {
+		case t.Answer == "returned":
+			c.returned = t.Answered
+		case t.Answer == "shed":
+			g.Shed++
+		case t.Answer == "failed":
+			g.Failed++
+		case t.Left:
+			g.Left++
+		default:
+			g.Refused++
+		}
 	}
+	return calls
+}
+
+// fillRecords counts what the workers did; what was found warm is also counted from a time on.
+func (rep *Report) fillRecords(e *Evidence, half float64) {
+	warm, servedLate, warmLate := 0, 0, 0
 	for _, r := range e.Records {
 		switch r.Event {
 		case "arrive":
@@ -145,8 +154,8 @@
 				warm++
 			}
 			if r.T > half {
-				if served2++; r.Found == "warm" {
-					warm2++
+				if servedLate++; r.Found == "warm" {
+					warmLate++
 				}
 			}
 		case "order":
@@ -161,7 +170,7 @@
 	}
 	if rep.Served > 0 {
 		rep.Warm = float64(warm) / float64(rep.Served)
-		rep.WarmLate = float64(warm2) / math.Max(1, float64(served2))
+		rep.WarmLate = float64(warmLate) / math.Max(1, float64(servedLate))
 	}
 }
 
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Slice is what happened in one span of a day. Calls count in the slice in which their first try was sent.
@@ -40,125 +42,142 @@
 	if len(e.Tries) == 0 {
 		return nil
 	}
-	begin, width := math.Inf(1), day.Seconds.Seconds/sliceCount
+	c := newCutter(day, e)
+	c.calls(day, e)
+	c.records(day, e)
+	return c.finish()
+}
+
+// cutter sums up a day by slice.
+type cutter struct {
+	begin, width            float64
+	slices                  []Slice
+	got, asked, total, vain []float64 // value in time and asked for; work done, and that of it for nothing
+	hist                    []*hdrhistogram.Histogram
+	used                    []map[string]bool // workers that ran something
+	wanted                  map[string]bool   // requests whose answer came in time
+}
+
+func newCutter(day *Day, e *Evidence) *cutter {
+	c := &cutter{begin: math.Inf(1), width: day.Seconds.Seconds / sliceCount, slices: make([]Slice, sliceCount),
+		got: make([]float64, sliceCount), asked: make([]float64, sliceCount), total: make([]float64, sliceCount),
+		vain: make([]float64, sliceCount), hist: newHistograms(sliceCount), used: make([]map[string]bool, sliceCount),
+		wanted: map[string]bool{}}
 	for _, t := range e.Tries {
-		begin = math.Min(begin, t.Sent)
+		c.begin = math.Min(c.begin, t.Sent)
 	}
-	out := make([]Slice, sliceCount)
-	for i := range out {
-		out[i].From = float64(i) * width
-	}
-	at := func(t float64) *Slice { return &out[int(math.Max(0, math.Min(sliceCount-1, (t-begin)/width)))] }
-	// spread books a span over the slices it lies in.
-	spread := func(from, to float64, f func(s *Slice, share float64)) {
-		for i := range out {
-			lo, hi := math.Max(from-begin, out[i].From), math.Min(to-begin, out[i].From+width)
-			if hi > lo {
-				f(&out[i], (hi-lo)/width)
-			}
-		}
+	for i := range c.slices {
+		c.slices[i].From, c.slices[i].Up = float64(i)*c.width, float64(day.Fleet.Workers)
+		c.used[i] = map[string]bool{}
 	}
-	value, slo := map[string]float64{}, map[string]float64{}
-	for _, g := range day.Settings.Groups {
-		value[g.Name], slo[g.Name] = g.Value, g.SLO.Seconds
-		if g.Value == 0 {
-			value[g.Name] = 1
+	return c
+}
+
+// at is the number of the slice that a time lies in.
+func (c *cutter) at(t float64) int {
+	return int(math.Max(0, math.Min(sliceCount-1, (t-c.begin)/c.width)))
+}
+
+// spread books a span over the slices it lies in.
+func (c *cutter) spread(from, to float64, f func(i int, share float64)) {
+	for i := range c.slices {
+		start := c.slices[i].From
+		lo, hi := math.Max(from-c.begin, start), math.Min(to-c.begin, start+c.width)
+		if hi > lo {
+			f(i, (hi-lo)/c.width)
 		}
 	}
-	type callOf struct {
-		first *Try
-		last  *Try
-	}
-	calls, wanted := map[string]*callOf{}, map[string]bool{} // wanted: requests whose answer came in time
+}
+
+// ends are the first and the last try of a call.
+type ends struct{ first, last *Try }
+
+func endsOfCalls(e *Evidence) map[string]*ends {
+	calls := map[string]*ends{}
 	for i := range e.Tries {
 		t := &e.Tries[i]
-		c := calls[t.Key]
-		if c == nil {
-			c = &callOf{first: t, last: t}
-			calls[t.Key] = c
+		call := calls[t.Key]
+		if call == nil {
+			call = &ends{first: t, last: t}
+			calls[t.Key] = call
 		}
-		if t.Number < c.first.Number {
-			c.first = t
+		if t.Number < call.first.Number {
+			call.first = t
 		}
-		if t.Number >= c.last.Number {
-			c.last = t
+		if t.Number >= call.last.Number {
+			call.last = t
+		}
+	}
+	return calls
+}
+
+// calls books each call in the slice in which it was first sent.
+func (c *cutter) calls(day *Day, e *Evidence) {
+	value, slo := map[string]float64{}, map[string]float64{}
+	for _, g := range day.Settings.Groups {
+		value[g.Name], slo[g.Name] = g.Value, g.SLO.Seconds
+		if g.Value == 0 {
+			value[g.Name] = 1
 		}
 	}
-	got, asked := make([]float64, sliceCount), make([]float64, sliceCount)
-	hist := newHistograms(sliceCount)
+	calls := endsOfCalls(e)
 	for i := range e.Tries { // in order of the tries, so that sums come out the same each time
-		c := calls[e.Tries[i].Key]
-		if c.last != &e.Tries[i] {
+		call := calls[e.Tries[i].Key]
+		if call.last != &e.Tries[i] {
 			continue
 		}
-		s, v := at(c.first.Sent), value[c.first.Group]
-		k := int(math.Round(s.From / width))
+		k, group := c.at(call.first.Sent), call.first.Group
+		s := &c.slices[k]
 		s.Asked++
-		asked[k] += v
-		took := c.last.Answered - c.first.Sent
+		c.asked[k] += value[group]
+		took := call.last.Answered - call.first.Sent
 		switch {
-		case c.last.Answer == "returned" && took <= slo[c.first.Group]:
+		case call.last.Answer == "returned" && took <= slo[group]:
 			s.InSLO++
-			got[k] += v
-			wanted[c.last.Request] = true
-		case c.last.Answer == "returned":
+			c.got[k] += value[group]
+			c.wanted[call.last.Request] = true
+		case call.last.Answer == "returned":
 			s.Late++
-		case c.last.Answer == "shed":
+		case call.last.Answer == "shed":
 			s.Shed++
 		default:
 			s.Lost++
 		}
-		if c.last.Answer == "returned" {
-			hist[k].RecordValue(int64(took * 1e6))
+		if call.last.Answer == "returned" {
+			c.hist[k].RecordValue(int64(took * 1e6))
 		}
 	}
-	type sending struct {
-		request string
-		attempt int
-		worker  string
-	}
-	arrived, ran, used := map[sending]float64{}, map[sending]float64{}, make([]map[string]bool, sliceCount)
-	for i := range used {
-		used[i] = map[string]bool{}
-	}
-	down, end, total, vain := map[string]float64{}, begin+day.Seconds.Seconds, make([]float64, sliceCount), make([]float64, sliceCount)
-	for i := range out {
-		out[i].Up = float64(day.Fleet.Workers)
-	}
-	goes := func(w string, from, to float64) {
-		spread(from, to, func(s *Slice, share float64) { s.Up -= share })
+}
+
+// sent is an attempt at a worker.
+type sent struct {
+	request string
+	attempt int
+	worker  string
+}
+
+// records books what the workers wrote down.
+func (c *cutter) records(day *Day, e *Evidence) {
+	arrived, ran, down := map[sent]float64{}, map[sent]float64{}, map[string]float64{}
+	lessUp := func(from, to float64) {
+		c.spread(from, to, func(i int, share float64) { c.slices[i].Up -= share })
 	}
 	for _, r := range e.Records {
-		k, s := sending{r.Request, r.Attempt, r.Worker}, at(r.T)
-		over := func() {
-			if t, ok := ran[k]; ok {
-				spread(t, r.T, func(s *Slice, share float64) {
-					s.Running += share
-					j := int(math.Round(s.From / width))
-					total[j] += share
-					if !wanted[r.Request] {
-						vain[j] += share
-					}
-				})
-			} else if t, ok := arrived[k]; ok {
-				spread(t, r.T, func(s *Slice, share float64) { s.Waiting += share })
-			}
-			delete(ran, k)
-			delete(arrived, k)
-		}
+		key, k := sent{r.Request, r.Attempt, r.Worker}, c.at(r.T)
+		s := &c.slices[k]
 		switch r.Event {
 		case "arrive":
 			s.Attempts++
-			arrived[k] = r.T
+			arrived[key] = r.T
 		case "ran":
-			over()
-			ran[k] = r.T
-			used[int(math.Round(s.From/width))][r.Worker] = true
+			c.over(key, r.T, arrived, ran)
+			ran[key] = r.T
+			c.used[k][r.Worker] = true
 		case "turned":
 			s.Turned++
-			over()
+			c.over(key, r.T, arrived, ran)
 		case "served", "silent", "stopped", "repeat":
-			over()
+			c.over(key, r.T, arrived, ran)
 		case "load":
 			s.Loads++
 		case "order":
@@ -169,25 +188,47 @@
 			down[r.Worker] = r.T
 		case "start":
 			if t, ok := down[r.Worker]; ok {
-				goes(r.Worker, t, r.T)
+				lessUp(t, r.T)
 				delete(down, r.Worker)
 			}
 		}
 	}
-	for w, t := range down {
-		goes(w, t, end)
+	for _, t := range down {
+		lessUp(t, c.begin+day.Seconds.Seconds)
 	}
-	for i := range out {
-		s := &out[i]
-		if s.Used = len(used[i]); asked[i] > 0 {
-			s.Service = got[i] / asked[i]
+}
+
+// over books what an attempt did since it arrived or ran.
+func (c *cutter) over(key sent, now float64, arrived, ran map[sent]float64) {
+	if t, ok := ran[key]; ok {
+		c.spread(t, now, func(i int, share float64) {
+			c.slices[i].Running += share
+			c.total[i] += share
+			if !c.wanted[key.request] {
+				c.vain[i] += share
+			}
+		})
+	} else if t, ok := arrived[key]; ok {
+		c.spread(t, now, func(i int, share float64) { c.slices[i].Waiting += share })
+	}
+	delete(ran, key)
+	delete(arrived, key)
+}
+
+// finish works out the shares of each slice.
+func (c *cutter) finish() []Slice {
+	for i := range c.slices {
+		s := &c.slices[i]
+		if s.Used = len(c.used[i]); c.asked[i] > 0 {
+			s.Service = c.got[i] / c.asked[i]
 		}
-		if total[i] > 0 {
-			s.Vain = vain[i] / total[i]
+		if c.total[i] > 0 {
+			s.Vain = c.vain[i] / c.total[i]
 		}
-		s.P50, s.P99 = float64(hist[i].ValueAtPercentile(50))/1e6, float64(hist[i].ValueAtPercentile(99))/1e6
+		s.P50 = float64(c.hist[i].ValueAtPercentile(50)) / 1e6
+		s.P99 = float64(c.hist[i].ValueAtPercentile(99)) / 1e6
 	}
-	return out
+	return c.slices
 }
 
 // Held is what a worker did in a day, and what it held in the end.
