Rules: one package permits or refuses each act; a flight recorder with reasons

The gateway asks it for attempts, sheds and load orders: rule 2 (non-retriable, scope, window) was barred by the decisions alone until now. Refusals count in mastchute_violations_total{rule,reason} and are logged with the request's id and its client's.

Each close of a connection has a reason.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -106,6 +106,9 @@
 	sig := make(chan os.Signal, 8)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(sig)
+	dump := make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	defer signal.Stop(dump)
 	d, err := Start(cfg, log, nil)
 	if err != nil {
 		log.Error().Err(err).Msg("not started")
@@ -141,6 +144,8 @@
 				return ExitStopped
 			}
 			return ExitOK
+		case <-dump:
+			d.Loop.Post(func() { d.Gateway.Dump("signal") })
 		case <-every.C:
 			w.look()
 		case s := <-sig:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/loop"
+	"mastchute/internal/permit"
 )
 
 // ending is an outcome to be told to the decisions; f nil: only lets the request's place go.
@@ -56,8 +57,10 @@
 	q.attempted++
 	q.pending++
 	w.meter.attempts.Inc()
-	if q.answered || w.State != control.Ready { // rules 1 and 3, whatever was decided
+	g.Note("attempt", "", q, w, timeout)
+	if why := permit.Attempt(f.made, q.terms(w, f.Index), w.ready()); why != permit.Allowed { // whatever was decided
 		g.Metrics.guard("forward_barred")
+		g.violation(why, "attempt", q, w)
 		f.barred = true
 		g.end(f, control.NotSent)
 		return
@@ -88,6 +91,11 @@
 // Shed answers that trying again is harmless.
 func (g *Gateway) Shed(id control.RequestID, retryAfter control.Seconds) {
 	if q := g.lookupRequest(id); q != nil && q.Client != nil {
+		if why := permit.Shed(q.shedTerms()); why != permit.Allowed {
+			g.violation(why, "shed", q, nil)
+			g.fail(q, false, "it may have run")
+			return
+		}
 		if c := g.final(q, answerShed); c != nil {
 			c.Shed(q, retryAfter)
 		}
@@ -191,6 +199,7 @@
 	f.result = r
 	f.Worker.pending--
 	f.Worker.meter.ended(r)
+	g.Note("attempt_ended", resultNames[r], q, f.Worker, now-f.made)
 	o := control.Outcome{ID: q.id, Attempt: f.Index, Worker: f.Worker.ID, Took: now - f.made, Result: r, Found: f.Reply.Found,
 		Crowd: f.Reply.Crowd, Report: f.Reply.Report[:f.Reply.Fields]}
 	if r == control.Returned && !q.answered {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,8 +20,10 @@
 
 	"mastchute/control"
 	"mastchute/internal/config"
+	"mastchute/internal/flightrec"
 	"mastchute/internal/loop"
 	"mastchute/internal/membership"
+	"mastchute/internal/permit"
 )
 
 const (
@@ -43,6 +45,7 @@
 	Loop    *loop.Loop
 	Metrics *Metrics
 	Members *membership.List
+	Events  flightrec.Ring // the latest state changes
 
 	cfg    *config.Config
 	log    zerolog.Logger
@@ -87,8 +90,9 @@
 
 type group struct {
 	config.Group
-	index control.GroupID
-	meter groupMeter
+	effect permit.Effect
+	index  control.GroupID
+	meter  groupMeter
 }
 
 // Options say what a host serves. Settings are what the decisions are told; Config holds what the host itself needs.
@@ -121,7 +125,7 @@
 	g.forgetTimer.Fire = g.forget
 	g.Metrics = newMetrics(g)
 	for i, c := range cfg.Groups {
-		g.groups = append(g.groups, &group{Group: c, index: control.GroupID(i), meter: g.Metrics.group(c.Name)})
+		g.groups = append(g.groups, &group{Group: c, effect: permit.EffectOf(c.Effect), index: control.GroupID(i), meter: g.Metrics.group(c.Name)})
 	}
 	for i, t := range cfg.Tenants {
 		g.tenants[t.Name] = i
@@ -248,6 +252,7 @@
 func (g *Gateway) crash(why string, stack []byte) {
 	g.exit.Crash = why
 	g.module = nil
+	g.Dump("crash")
 	g.log.Error().Str("panic", why).Str("stack", string(stack)).Int("in_hand", g.inFlight).Msg("decision code failed; this dispatcher ends")
 	g.Loop.Later(func() {
 		g.front.Drain()
@@ -286,6 +291,7 @@
 		g.stopBy = math.Min(g.stopBy, by)
 	} else {
 		g.log.Info().Int("in_hand", g.inFlight).Float64("grace_s", grace).Msg("stopping")
+		g.Note("stopping", "", nil, nil, grace)
 		g.stopping, g.stopBy = true, by
 		g.front.Drain()
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 
 	orders, probes, listFailed prometheus.Counter
 	refusals, guards, taken    *prometheus.CounterVec
+	violations, overtaken      *prometheus.CounterVec
 	answered                   *prometheus.CounterVec
 	latency                    *prometheus.HistogramVec
 	attempts, ends             *prometheus.CounterVec
@@ -61,6 +62,8 @@
 	m.listFailed = counter("mastchute_roster_failures_total", "Times a source of the list of workers could not be read.")
 	m.refusals = vec("mastchute_refusals_total", "Requests refused before an inference was taken, by reason.", "reason")
 	m.guards = vec("mastchute_guards_total", "Times the host barred what a rule forbids; each is a fault to report.", "guard")
+	m.violations = vec("mastchute_violations_total", "Acts that the decisions asked for and a rule forbids; barred, and a fault to report.", "rule", "reason")
+	m.overtaken = vec("mastchute_overtaken_total", "Attempts held back at the last moment, as events overtook them; no fault.", "rule", "reason")
 	m.taken = vec("mastchute_taken_total", "Inferences taken.", "group")
 	m.answered = vec("mastchute_answers_total", "Final answers, by kind; left means that the client went first.", "group", "answer")
 	m.attempts = vec("mastchute_forwards_total", "Forwards to workers.", "worker")
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"mastchute/control"
+	"mastchute/internal/permit"
 )
 
 func (g *Gateway) getOrder(kind OrderKind, w *Worker, m *Model) *Order {
@@ -37,8 +38,10 @@
 	o := g.getOrder(OrderLoad, w, model)
 	o.Copies = copies
 	g.Metrics.orders.Inc()
-	if w.State != control.Ready { // rule 3
+	g.Note("load_order", "", nil, w, float64(copies))
+	if why := permit.Order(w.ready()); why != permit.Allowed {
 		g.Metrics.guard("order_barred")
+		g.violation(why, "load order", nil, w)
 		g.Loop.Later(func() { o.finish(control.NotSent) })
 		return
 	}
--- /dev/null
+++ b/internal/gateway/permits.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"mastchute/control"
+	"mastchute/internal/flightrec"
+	"mastchute/internal/permit"
+)
+
+// terms is what the rules need to know of a request for an attempt at a worker, given the attempts before it.
+func (q *Request) terms(w *Worker, before int) permit.Request {
+	t := permit.Request{Answered: q.answered, NotAfter: q.notAfter, Effect: q.group.effect, Window: q.group.Window.Seconds}
+	for _, f := range q.attempts[:before] {
+		if f.done && f.result.NeverRan() {
+			continue
+		}
+		if !t.MayHaveRun {
+			t.MayHaveRun, t.Since, t.InScope = true, f.made, true
+		}
+		t.InScope = t.InScope && q.group.covers(f.Worker, w)
+	}
+	return t
+}
+
+// covers tells whether two workers drop each other's repeats.
+func (c *group) covers(a, b *Worker) bool {
+	switch c.Scope {
+	case "all":
+		return true
+	case "zone":
+		return a.Zone == b.Zone
+	case "cell":
+		return a.Zone == b.Zone && a.Cell == b.Cell
+	}
+	return a == b
+}
+
+// ready tells whether new work may go to a worker.
+func (w *Worker) ready() bool { return w.State == control.Ready }
+
+// Permit tells whether the first byte of an attempt may go to the kernel at a time of the loop's clock, in a message that
+// was written at another. A refusal is counted: the attempt was overtaken on its way out, which is no fault.
+func (f *Attempt) Permit(now, written float64) permit.Reason {
+	why := permit.Leave(now, written, f.Request.terms(f.Worker, f.Index), f.Worker.ready())
+	if why != permit.Allowed {
+		f.g.Metrics.overtaken.WithLabelValues(ruleNames[why.Rule()], why.String()).Inc()
+		f.g.Note("overtaken", why.String(), f.Request, f.Worker, now-written)
+	}
+	return why
+}
+
+// violation counts and logs that the decisions asked for what a rule forbids; it was not done.
+func (g *Gateway) violation(why permit.Reason, what string, q *Request, w *Worker) {
+	g.Metrics.violations.WithLabelValues(ruleNames[why.Rule()], why.String()).Inc()
+	g.Note("violation", why.String(), q, w, 0)
+	e := g.log.Error().Int("rule", why.Rule()).Stringer("reason", why).Str("act", what)
+	if q != nil {
+		e = e.Str("inference", string(g.appendID(nil, q))).Bytes("trace", q.trace[:])
+	}
+	if w != nil {
+		e = e.Str("worker", w.Name)
+	}
+	e.Msg("rule violation barred")
+}
+
+var ruleNames = [...]string{"0", "1", "2", "3", "4", "5"}
+
+// Note records a state change with its reason. q and w may be nil.
+func (g *Gateway) Note(what, why string, q *Request, w *Worker, value float64) {
+	e := flightrec.Event{At: g.Loop.Now(), What: what, Why: why, Value: value}
+	if q != nil {
+		e.Request = q.seq
+	}
+	if w != nil {
+		e.Worker = uint32(w.ID)
+	}
+	g.Events.Add(e)
+}
+
+// SetTrace names a request as its client does, in logs and dumps.
+func (q *Request) SetTrace(id [16]byte) { q.trace = id }
+
+// Dump writes the flight recorder to the log, oldest event first, and the requests in flight.
+func (g *Gateway) Dump(why string) {
+	g.log.Warn().Str("why", why).Uint64("events", g.Events.Count()).Int("in_hand", g.inFlight).Msg("flight recorder")
+	g.Events.Each(func(e *flightrec.Event) {
+		g.log.Warn().Float64("at", e.At).Str("what", e.What).Str("reason", e.Why).Uint64("request", e.Request).
+			Uint32("worker_id", e.Worker).Float64("value", e.Value).Msg("event")
+	})
+	for _, q := range g.requests {
+		if q.live {
+			g.log.Warn().Uint64("request", q.seq).Bytes("trace", q.trace[:]).Bool("answered", q.answered).Int("attempts", q.attempted).
+				Int("out", q.pending).Float64("left_s", q.notAfter-g.Loop.Now()).Msg("in flight")
+		}
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/loop"
+	"mastchute/internal/permit"
 )
 
 // answer is how a request ended for its client.
@@ -39,6 +40,7 @@
 	live               bool
 	gen                uint32
 	timer              loop.Timer // the client's time
+	trace              [16]byte   // its client's name for it, where it has one
 }
 
 // Model is the model it asks for, NotAfter the end of the client's time on the loop's clock, Final whether its final
@@ -74,6 +76,7 @@
 	}
 	q.group.meter.taken.Inc()
 	g.Loop.Start(&q.timer, span)
+	g.Note("taken", q.group.Name, q, nil, span)
 	g.begin()
 	g.request(&in)
 	return q
@@ -164,12 +167,7 @@
 // answerAtStop gives the final answer at a stop: shed where trying again is harmless, as no attempt has run or may or the model
 // group is retriable, else failed.
 func (g *Gateway) answerAtStop(q *Request, why string) {
-	harmless := q.streaming == nil
-	if q.group.Effect != "retriable" {
-		for _, f := range q.attempts[:q.attempted] {
-			harmless = harmless && (f.done && f.result.NeverRan() || !f.done && !f.Worker.link.Whole(f))
-		}
-	}
+	harmless := q.streaming == nil && (q.group.effect == permit.Retriable || !q.shedTerms().MayHaveRun)
 	if !harmless {
 		g.fail(q, false, why)
 	} else if c := g.final(q, answerShed); c != nil {
@@ -177,6 +175,17 @@
 	}
 }
 
+// shedTerms is what the rules need to know of a request that is to be shed: what has not left yet never will.
+func (q *Request) shedTerms() permit.Request {
+	t := permit.Request{Answered: q.answered, Effect: q.group.effect}
+	for _, f := range q.attempts[:q.attempted] {
+		if f.done && !f.result.NeverRan() || !f.done && f.Worker.link.Whole(f) {
+			t.MayHaveRun = true
+		}
+	}
+	return t
+}
+
 // fail gives the final answer that promises nothing.
 func (g *Gateway) fail(q *Request, late bool, why string) {
 	if c := g.final(q, answerFailed); c != nil {
@@ -210,6 +219,7 @@
 	now := g.Loop.Now()
 	q.group.meter.final(a, now-q.arrivedAt)
 	g.logFinal(q, a, now)
+	g.Note("final", a.String(), q, nil, now-q.arrivedAt)
 	for _, f := range q.attempts[:q.attempted] {
 		if !f.done && !f.Worker.link.Whole(f) {
 			g.end(f, control.Cancelled)
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -72,6 +72,7 @@
 		}
 		g.log.Info().Str("worker", r.Name).Str("address", r.Addr.String()).Str("state", r.StateName()).
 			Uint32("version", r.Version).Stringer("from", r.From).Msg("worker listed")
+		g.Note("worker_listed", r.StateName(), nil, w, w.Start)
 		if r.State != control.Ready {
 			w.link.Abandon() // what waits for a connection there must not be sent now
 			if r.State == control.Gone {
--- /dev/null
+++ b/internal/permit/permit.go
@@ -0,0 +1,154 @@
+// Package permit is the one place that says whether an act towards a client or a worker is allowed by the rules now:
+// making an attempt, letting its first byte go, shedding, ordering a load, closing a connection, and which deadline to
+// pass on. It is pure: state and time go in, Allowed or a typed reason comes out. What is wise is decided by package
+// control; what is forbidden is forbidden here, whatever was decided.
+package permit
+
+import "math"
+
+const (
+	// BudgetLeast is the shortest deadline, in ms, that is passed to a worker: zero would mean none to some.
+	BudgetLeast = 1
+	// DeadlineAge is how old, in seconds, a deadline may be when its message leaves: the rule allows 0.15.
+	DeadlineAge = 0.05
+	// PartialAge is how old a message may be when the rest of it leaves, in seconds; its head can't be changed any more.
+	PartialAge = 0.1
+)
+
+// Reason says why an act is not allowed.
+type Reason uint8
+
+const (
+	Allowed     Reason = iota
+	Answered           // the final answer is given, or the client has left
+	TimeUp             // the client's time is up
+	NotReady           // the worker drains or is gone
+	MayHaveRun         // an earlier attempt may have run, and this may not run twice
+	OutOfScope         // the worker does not drop repeats of an earlier attempt that may have run
+	WindowOver         // workers no longer drop repeats
+	Stale              // it waited too long to leave as it is: its deadline is out of date
+	OpenRequest        // the connection owes an answer
+	reasons
+)
+
+var reasonNames = [reasons]string{"allowed", "answered", "time_up", "worker_not_ready", "may_have_run", "out_of_scope",
+	"window_over", "stale_deadline", "open_request"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Rule is the number of the rule that a reason speaks of, as docs/host.md counts them.
+func (r Reason) Rule() int {
+	switch r {
+	case Answered, TimeUp, Stale, OpenRequest:
+		return 1
+	case MayHaveRun, OutOfScope, WindowOver:
+		return 2
+	case NotReady:
+		return 3
+	}
+	return 0
+}
+
+// Effect says what running a request twice does.
+type Effect uint8
+
+const (
+	NonRetriable Effect = iota // the strictest is the zero value
+	Deduplicated
+	Retriable
+)
+
+// EffectOf reads an effect as the settings write it; a word that is not known is the strictest.
+func EffectOf(word string) Effect {
+	switch word {
+	case "retriable":
+		return Retriable
+	case "deduped":
+		return Deduplicated
+	}
+	return NonRetriable
+}
+
+// Request is what of a request bears on its attempts and its answer. Times are seconds of one monotonic clock.
+type Request struct {
+	Answered   bool
+	NotAfter   float64 // the end of the client's time
+	Effect     Effect
+	MayHaveRun bool    // an earlier attempt is out, or may have run
+	Since      float64 // when the earliest of those was made
+	Window     float64 // for which workers drop repeats from then on
+	InScope    bool    // the worker in question drops repeats of that attempt
+}
+
+// Attempt tells whether an attempt may be made at a worker, ready or not.
+func Attempt(now float64, q Request, ready bool) Reason {
+	switch {
+	case q.Answered:
+		return Answered
+	case !ready:
+		return NotReady
+	case now > q.NotAfter:
+		return TimeUp
+	case !q.MayHaveRun || q.Effect == Retriable:
+		return Allowed
+	case q.Effect == NonRetriable:
+		return MayHaveRun
+	case !q.InScope:
+		return OutOfScope
+	case now > q.Since+q.Window:
+		return WindowOver
+	}
+	return Allowed
+}
+
+// Leave tells whether the first byte of a message may go to the kernel: what holds for the attempt has to hold still,
+// and the deadline in it, set when it was written, has to be true still.
+func Leave(now, written float64, q Request, ready bool) Reason {
+	if r := Attempt(now, q, ready); r != Allowed {
+		return r
+	}
+	if now-written > DeadlineAge {
+		return Stale
+	}
+	return Allowed
+}
+
+// Finish tells whether the rest of a message that has left in part may follow.
+func Finish(now, written float64) Reason {
+	if now-written > PartialAge {
+		return Stale
+	}
+	return Allowed
+}
+
+// Shed tells whether a client may be told that trying again is harmless.
+func Shed(q Request) Reason {
+	switch {
+	case q.Answered:
+		return Answered
+	case q.MayHaveRun && q.Effect == NonRetriable:
+		return MayHaveRun
+	}
+	return Allowed
+}
+
+// Order tells whether a load order may be sent to a worker.
+func Order(ready bool) Reason {
+	if !ready {
+		return NotReady
+	}
+	return Allowed
+}
+
+// Close tells whether a client's connection that is not at fault may be closed: not while it is owed an answer.
+func Close(open int) Reason {
+	if open > 0 {
+		return OpenRequest
+	}
+	return Allowed
+}
+
+// Budget is the deadline to pass to a worker, in ms: what the client has left.
+func Budget(now, notAfter float64) int64 {
+	return int64(math.Max(BudgetLeast, math.Floor((notAfter-now)*1e3)))
+}
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -130,6 +130,7 @@
 func (f *feed) fire() {
 	if f.out { // silence
 		f.told("change_log_silent")
+		f.g.Note("change_log_silent", "", nil, nil, float64(f.last))
 		f.call.Cancel()
 		f.again(true)
 		return
@@ -188,6 +189,7 @@
 	}
 	if err != nil {
 		f.told("change_log_failed")
+		f.g.Note("change_log_failed", closeReason(err), nil, nil, float64(f.last))
 		f.g.ListFailed(err)
 	}
 	f.again(err != nil)
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -39,11 +39,11 @@
 func (c *clientConn) Drained(*loop.Conn) {}
 
 // Closed implements loop.Handler: the client has gone, and wants none of its answers.
-func (c *clientConn) Closed(*loop.Conn, error) { c.over() }
+func (c *clientConn) Closed(_ *loop.Conn, err error) { c.over(closeReason(err)) }
 
 // end closes the connection; what is open on it is given up. Answers written in this turn go out first: they are given,
 // and nobody would give them again.
-func (c *clientConn) end() {
+func (c *clientConn) end(why string) {
 	if c.closing {
 		return
 	}
@@ -52,11 +52,11 @@
 	} else {
 		c.conn.Close()
 	}
-	c.over()
+	c.over(why)
 }
 
 // cut closes the connection at once, whose client does not keep to the protocol, or does not read.
-func (c *clientConn) cut() {
+func (c *clientConn) cut(why string) {
 	if c.closing {
 		return
 	}
@@ -65,20 +65,22 @@
 		return
 	}
 	c.conn.Close()
-	c.over()
+	c.over(why)
 }
 
 // endSoon closes it when what was written has gone out.
-func (c *clientConn) endSoon() {
+func (c *clientConn) endSoon(why string) {
 	if c.closing {
 		return
 	}
 	c.conn.CloseFlushed()
-	c.over()
+	c.over(why)
 }
 
-func (c *clientConn) over() {
+// over lets go of a connection that has ended; what is open on it is given up.
+func (c *clientConn) over(why string) {
 	c.closing = true
+	c.p.g.Note("client_closed", why, nil, nil, float64(c.calls))
 	c.p.l.Cancel(&c.timer)
 	if c.next != nil {
 		c.unlink()
@@ -98,15 +100,18 @@
 	if c.conn.Poll(); c.closing || c.reads != reads && !(part && c.part) {
 		return
 	}
+	why := "idle"
 	switch {
 	case c.part:
-		c.p.refuse("message_stalled")
+		why = "message_stalled"
+		c.p.refuse(why)
 	case !c.used:
-		c.p.refuse("silent")
+		why = "silent"
+		c.p.refuse(why)
 	case c.calls > 0:
 		return
 	}
-	c.end()
+	c.end(why)
 }
 
 // wait starts the time that the connection may stay as it is.
@@ -135,7 +140,7 @@
 		payload, n, err := thrift.Frame(b[used:], thrift.MostFrame)
 		if err != nil {
 			c.p.refuse("frame")
-			c.cut()
+			c.cut("frame")
 			return len(b)
 		}
 		if n == 0 {
@@ -146,7 +151,7 @@
 		if err != nil {
 			c.p.refuse("unreadable")
 			c.write(thrift.AppendFault(c.p.scratch[:0], m.Seq, err.Error()))
-			c.endSoon()
+			c.endSoon("unreadable")
 			return len(b)
 		}
 		c.used, c.part = true, false
@@ -157,7 +162,7 @@
 		c.link()
 		if conn.Waiting() > unreadMost {
 			c.p.refuse("does_not_read")
-			c.cut()
+			c.cut("does_not_read")
 			return len(b)
 		}
 		c.wait(used < len(b))
@@ -192,10 +197,10 @@
 		c.bad("unusable", m.Seq, m.Fault.Error())
 	case c.find(m.Seq) != nil: // its answer could be taken for the other's
 		p.refuse("number_in_use")
-		c.cut()
+		c.cut("number_in_use")
 	case c.calls >= openMost:
 		p.refuse("too_many_open")
-		c.cut()
+		c.cut("too_many_open")
 	default:
 		c.infer(m)
 	}
@@ -206,7 +211,7 @@
 	c.p.refuse(why)
 	c.write(thrift.AppendFault(c.p.scratch[:0], seq, text))
 	if c.faults++; c.faults >= faultsMost && c.calls == 0 {
-		c.endSoon()
+		c.endSoon(why)
 	}
 }
 
@@ -227,7 +232,7 @@
 	if other := p.open[key]; other != nil {
 		p.refuse("id_in_use")
 		if other.c == c {
-			c.cut() // nothing it says can be told apart
+			c.cut("id_in_use") // nothing it says can be told apart
 			return
 		}
 		c.bad("id_in_use", m.Seq, "an inference with this id is open")
@@ -260,6 +265,7 @@
 	}
 	k.q = p.g.Accept(k, model, tenant, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
 		Work: m.Work, Load: m.Load, NotAfter: p.l.Now() + m.Timeout, Repeat: m.Repeat})
+	k.q.SetTrace(key)
 }
 
 func (c *clientConn) find(seq int32) *call {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -91,7 +91,7 @@
 	}
 	for _, c := range all {
 		if c.conn.Poll(); c.calls == 0 && !c.part {
-			c.end()
+			c.end("drained")
 		}
 	}
 }
@@ -131,7 +131,7 @@
 		}
 		if !idle.closing {
 			p.refuse("idle_closed")
-			idle.end()
+			idle.end("idle_closed")
 		}
 		return p.conns+p.l.Lingering() < p.most+reservedClients // it may linger for its last answer
 	}
--- a/internal/platform/outgoing.go
+++ b/internal/platform/outgoing.go
@@ -78,7 +78,7 @@
 			}
 		}
 	default: // part of it has left: the worker does not read, and the rest is not to be sent any more
-		c.end(control.Reset)
+		c.end(control.Reset, "given_up_in_part")
 		return
 	}
 	if len(c.l.queue) > 0 {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -100,6 +100,7 @@
 // Reload takes a new configuration in service: the change log's address, and what it knows.
 func (d *Dispatcher) Reload(f *File) {
 	d.log.Info().Str("change_log", f.ChangeLog).Msg("configuration read anew")
+	d.Gateway.Note("reload", "", nil, nil, 0)
 	if other := d.file.differs(f); len(other) > 0 {
 		d.log.Warn().Strs("fields", other).Msg("these changed too, and are in force after a restart only")
 	}
@@ -152,6 +153,9 @@
 func Run(out io.Writer) int {
 	sig := make(chan os.Signal, 8) // first of all: a signal that comes before ends the process
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	dump := make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	defer signal.Stop(dump)
 	defer signal.Stop(sig)
 	path := os.Getenv("LB_CONFIG")
 	f, err := ReadFile(path)
@@ -183,6 +187,8 @@
 				return app.ExitCrash
 			}
 			return app.ExitOK
+		case <-dump:
+			d.Loop.Post(func() { d.Gateway.Dump("signal") })
 		case s := <-sig:
 			if s != syscall.SIGHUP {
 				d.Loop.Post(d.Stop)
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -1,7 +1,10 @@
 package platform
 
 import (
+	"errors"
+	"io"
 	"math"
+	"syscall"
 
 	"mastchute/control"
 	"mastchute/internal/gateway"
@@ -68,7 +71,7 @@
 	case len(c.open) > 0:
 		l.Cancel(&c.timer)
 	case c.l.closed:
-		c.end(control.NotSent)
+		c.end(control.NotSent, "idle")
 	default:
 		l.Start(&c.timer, c.l.s.idle)
 		c.l.s.eased()
@@ -76,10 +79,12 @@
 }
 
 func (c *workerConn) expired() {
+	why := "idle"
 	if c.part {
-		c.l.s.p.refuse("answer_stalled")
+		why = "answer_stalled"
+		c.l.s.p.refuse(why)
 	}
-	c.end(control.Reset)
+	c.end(control.Reset, why)
 }
 
 // Opened implements loop.Handler.
@@ -93,19 +98,21 @@
 func (c *workerConn) Drained(*loop.Conn) { c.l.mark() }
 
 // Closed implements loop.Handler.
-func (c *workerConn) Closed(_ *loop.Conn, _ error) {
+func (c *workerConn) Closed(_ *loop.Conn, err error) {
 	if !c.up { // it never came up: nothing was sent on it
+		c.l.s.p.g.Note("worker_connect_failed", closeReason(err), nil, c.l.w, 0)
 		c.l.failed(c)
 		return
 	}
-	c.end(control.Reset)
+	c.end(control.Reset, closeReason(err))
 }
 
 // end ends the connection. What was handed whole to the kernel may have run; a message that was not never did.
-func (c *workerConn) end(why control.Result) {
+func (c *workerConn) end(result control.Result, why string) {
 	if c.ended {
 		return
 	}
+	c.l.s.p.g.Note("worker_closed", why, nil, c.l.w, float64(len(c.open)))
 	c.l.remove(c)
 	sentBytes := c.conn.Sent()
 	c.conn.Close()
@@ -116,7 +123,7 @@
 		if sentBytes < r.to {
 			r.end(control.ConnectFailed)
 		} else {
-			r.end(why)
+			r.end(result)
 		}
 	}
 	if len(c.l.queue) > 0 {
@@ -131,7 +138,7 @@
 		a, n, err := lines.Next(b[used:])
 		if err != nil {
 			p.refuse("answer_spoilt")
-			c.end(control.Reset)
+			c.end(control.Reset, "answer_spoilt")
 			break
 		}
 		if n == 0 {
@@ -177,3 +184,18 @@
 	}
 	c.l.s.p.refuse("answer_to_nothing")
 }
+
+// closeReason words why a connection ended, for the flight recorder.
+func closeReason(err error) string {
+	if errors.Is(err, io.EOF) {
+		return "peer_closed"
+	}
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
+		return errno.Error()
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return "unknown"
+}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -41,6 +41,7 @@
 // implements gateway.Link.
 type link struct {
 	s      *workers
+	w      *gateway.Worker
 	addr   netip.AddrPort
 	conns  []*workerConn
 	queue  []*sent // not written to any connection yet
@@ -51,7 +52,7 @@
 
 // Link implements gateway.Front.
 func (p *front) Link(w *gateway.Worker) gateway.Link {
-	l := &link{s: &p.workers, addr: w.Addr}
+	l := &link{s: &p.workers, w: w, addr: w.Addr}
 	l.pumpFn = l.pump
 	return l
 }
@@ -162,7 +163,7 @@
 func (s *workers) makeRoom() bool {
 	for c := range s.conns {
 		if c.up && len(c.open) == 0 {
-			c.end(control.NotSent)
+			c.end(control.NotSent, "idle_closed")
 			return true
 		}
 	}
@@ -227,7 +228,7 @@
 func (l *link) CloseIdle() {
 	for i := len(l.conns) - 1; i >= 0; i-- {
 		if c := l.conns[i]; c.up && len(c.open) == 0 {
-			c.end(control.NotSent)
+			c.end(control.NotSent, "idle_closed")
 		}
 	}
 }
