--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -36,10 +36,10 @@
 func (l *Loop) Dial(to netip.AddrPort, timeout float64, h Handler) *Conn {
 	c := &Conn{l: l, h: h, fd: -1, peer: to, interest: unix.EPOLLOUT}
 	domain, sa := sockaddr(to)
-	fd, err := unix.Socket(domain, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.kernel.Socket(domain, unix.SOCK_STREAM, 0)
 	if err == nil {
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		if err = unix.Connect(fd, sa); err == nil || err == unix.EINPROGRESS {
+		if err = l.kernel.Connect(fd, sa); err == nil || err == unix.EINPROGRESS {
 			c.fd = fd
 			err = l.enter(fd, c.interest, entry{c: c})
 		} else {
@@ -259,7 +259,7 @@
 }
 
 func (c *Conn) read() {
-	n, err := unix.Read(c.fd, c.l.scratch)
+	n, err := c.l.kernel.Read(c.fd, c.l.scratch)
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case err != nil:
@@ -305,7 +305,7 @@
 
 func (c *Conn) flush() {
 	for c.sent < len(c.out) {
-		n, err := unix.Write(c.fd, c.out[c.sent:])
+		n, err := c.l.kernel.Write(c.fd, c.out[c.sent:])
 		if err == unix.EAGAIN {
 			c.waits = true
 			c.want(c.interest | unix.EPOLLOUT)
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -25,13 +25,13 @@
 // Addr tells.
 func (l *Loop) Listen(at netip.AddrPort, accepted func(c *Conn) Handler) (*Listener, error) {
 	domain, sa := sockaddr(at)
-	fd, err := unix.Socket(domain, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.kernel.Socket(domain, unix.SOCK_STREAM, 0)
 	if err != nil {
 		return nil, fmt.Errorf("listen %s: %w", at, err)
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err = unix.Bind(fd, sa); err == nil {
-		err = unix.Listen(fd, backlogSize)
+	if err = l.kernel.Bind(fd, sa); err == nil {
+		err = l.kernel.Listen(fd, backlogSize)
 	}
 	if err != nil {
 		unix.Close(fd)
@@ -94,7 +94,7 @@
 			ln.pause() // the kernel's backlog waits; gone resumes
 			return
 		}
-		fd, sa, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, sa, err := ln.l.kernel.Accept(ln.fd)
 		switch {
 		case err == nil:
 		case err == unix.EAGAIN:
@@ -135,7 +135,7 @@
 		return
 	}
 	unix.Close(ln.l.reserve)
-	if fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); err == nil {
+	if fd, _, err := ln.l.kernel.Accept(ln.fd); err == nil {
 		unix.Close(fd)
 	}
 	ln.l.reserve, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mastchute/internal/sys"
 )
 
 const (
@@ -65,6 +67,7 @@
 	OnTurn func() // called after the events of a turn and before its writes; may be nil
 	Stats  Stats
 
+	kernel    sys.Kernel
 	ep, wake  int
 	start     time.Time
 	now       float64
@@ -100,17 +103,18 @@
 // New makes a loop that holds at most maxConns connections, dialled ones included; 0 means no limit but the
 // descriptors'.
 func New(maxConns int) (*Loop, error) {
-	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	kernel := sys.Default
+	ep, err := kernel.EpollCreate()
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
-	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	wake, err := kernel.EventFD()
 	if err != nil {
 		unix.Close(ep)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{ep: ep, wake: wake, start: time.Now(), scratch: make([]byte, readSize), reserve: -1, maxConns: maxConns}
-	if err := unix.EpollCtl(ep, unix.EPOLL_CTL_ADD, wake, &unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(wake), Pad: -1}); err != nil {
+	l := &Loop{kernel: kernel, ep: ep, wake: wake, start: time.Now(), scratch: make([]byte, readSize), reserve: -1, maxConns: maxConns}
+	if err := kernel.EpollControl(ep, unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN, -1); err != nil {
 		unix.Close(ep)
 		unix.Close(wake)
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -144,7 +148,7 @@
 	l.mu.Unlock()
 	if l.waked.CompareAndSwap(false, true) {
 		var one = [8]byte{1}
-		unix.Write(l.wake, one[:])
+		l.kernel.Write(l.wake, one[:])
 	}
 }
 
@@ -165,7 +169,7 @@
 	defer l.close()
 	var events [eventsTurn]unix.EpollEvent
 	for !l.stopped {
-		n, err := unix.EpollWait(l.ep, events[:], l.timeout())
+		n, err := l.kernel.EpollWait(l.ep, events[:], l.timeout())
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll: %w", err)
 		}
@@ -196,7 +200,7 @@
 		e := &events[i]
 		if e.Pad < 0 {
 			var b [8]byte
-			unix.Read(l.wake, b[:])
+			l.kernel.Read(l.wake, b[:])
 			l.waked.Store(false) // after the read: else a Post in between would be read away, and none wake us again
 			continue
 		}
@@ -297,11 +301,11 @@
 	l.gen = (l.gen + 1) & math.MaxInt32
 	e.gen = l.gen
 	l.fds[fd] = e
-	return unix.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: e.gen})
+	return l.kernel.EpollControl(l.ep, unix.EPOLL_CTL_ADD, fd, events, e.gen)
 }
 
 func (l *Loop) change(fd int, events uint32) {
-	unix.EpollCtl(l.ep, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: l.fds[fd].gen})
+	l.kernel.EpollControl(l.ep, unix.EPOLL_CTL_MOD, fd, events, l.fds[fd].gen)
 }
 
 func (l *Loop) leave(fd int) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -15,6 +15,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/config"
+	"mastchute/internal/sys"
 	"mastchute/internal/wire"
 )
 
@@ -56,14 +57,10 @@
 
 // ReadFile reads and checks the configuration.
 func ReadFile(path string) (*File, error) {
-	info, err := os.Stat(path)
-	if err != nil {
-		return nil, err
-	}
-	if info.Size() > configMost {
+	if info, err := os.Stat(path); err == nil && info.Size() > configMost {
 		return nil, fmt.Errorf("%s has %d bytes; %d at most are read", path, info.Size(), configMost)
 	}
-	text, err := os.ReadFile(path)
+	text, err := sys.Default.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
