--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -29,6 +29,7 @@
 	Convert labConvertCmd `cmd:"" help:"Turn a day of the bench into one of ours, as far as it can be."`
 	Report  labReportCmd  `cmd:"" help:"Make a page with plots of one report or of several side by side."`
 	Load    labLoadCmd    `cmd:"" help:"Put an open-loop load on a gateway and measure from the intended times."`
+	Soak    labSoakCmd    `cmd:"" help:"Play drawn troubles against real dispatcher processes and judge every promise."`
 	Bench   labBenchCmd   `cmd:"" help:"Measure the gateway beside a bare relay and net/http's ReverseProxy."`
 	Echo    labEchoCmd    `cmd:"" hidden:""`
 	Relay   labRelayCmd   `cmd:"" hidden:""`
