--- /dev/null
+++ b/internal/platform/faults_test.go
@@ -0,0 +1,330 @@
+package platform
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mastchute/internal/sys"
+	"mastchute/internal/sys/faults"
+	"mastchute/internal/thrift/thrifttest"
+)
+
+// failing is a kernel whose failures a test switches on and off.
+type failing struct {
+	faults.Kernel
+	mu    sync.Mutex
+	call  faults.Call
+	errno syscall.Errno
+	until time.Time
+	every int64 // only each so many-th call fails; 0 for all
+	hits  atomic.Int64
+	still atomic.Int64 // ns that the next wait stands still before it looks
+	mid   atomic.Int64 // ns that the next read stands still
+}
+
+// newFailing makes the kernel of all loops of a test.
+func newFailing(t *testing.T) *failing {
+	k := &failing{Kernel: faults.Kernel{Kernel: sys.Linux{}}}
+	k.Fail = func(c faults.Call, _ int) error {
+		if c == faults.EpollWait {
+			time.Sleep(time.Duration(k.still.Swap(0)))
+		}
+		if c == faults.Read {
+			time.Sleep(time.Duration(k.mid.Swap(0)))
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if c == k.call && time.Now().Before(k.until) {
+			if n := k.hits.Add(1); k.every == 0 || n%k.every == 0 {
+				return k.errno
+			}
+		}
+		return nil
+	}
+	sys.Default = k
+	t.Cleanup(func() { sys.Default = sys.Linux{} })
+	return k
+}
+
+// fail lets a call fail for a while.
+func (k *failing) fail(c faults.Call, errno syscall.Errno, span time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.call, k.errno, k.until = c, errno, time.Now().Add(span)
+}
+
+// Failures of accept that pass lose nobody, in service and in a stop.
+func TestPassingFailuresOfAccept(t *testing.T) {
+	t.Run("serving", acceptFailsForAWhile)
+	t.Run("draining", acceptFailsWhileDraining)
+}
+
+// A process that stood still counts time from when things came in, and hears all of them before it acts.
+func TestStandstill(t *testing.T) {
+	t.Run("deadlines", standstillShortensDeadlines)
+	t.Run("leaving", standstillHearsLeavingFirst)
+}
+
+// What waits in the backlog while accept fails, each other time, is served when that has passed.
+func acceptFailsForAWhile(t *testing.T) {
+	for _, errno := range []syscall.Errno{unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EMFILE, unix.ECONNABORTED, unix.EINTR, unix.EPROTO} {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			k := newFailing(t)
+			r := newRig(t, "load", newWorker(t, "w1", fine))
+			r.expect("read", "returned")
+			k.every = 2
+			k.fail(faults.Accept, errno, 300*time.Millisecond)
+			r.all(t, 12, "returned")
+			if k.hits.Load() == 0 {
+				t.Error("accept never failed")
+			}
+		})
+	}
+}
+
+// all sends a request on each of so many new connections at once, and expects the same answer to each.
+func (r *rig) all(t *testing.T, n int, want string) {
+	t.Helper()
+	var clients []*client
+	for range n {
+		c := r.dial()
+		c.send("read", "in")
+		clients = append(clients, c)
+	}
+	got := map[string]int{}
+	for _, c := range clients {
+		if a, ok := c.answer(); ok {
+			got[kind(a)]++
+		} else {
+			got["closed"]++
+		}
+	}
+	if got[want] != n {
+		t.Errorf("%v, want %d %s", got, n, want)
+	}
+}
+
+// The same while the process is told to stop: connections that wait in the backlog are answered before it ends.
+func acceptFailsWhileDraining(t *testing.T) {
+	k := newFailing(t)
+	r := newRig(t, "load", newWorker(t, "w1", fine))
+	r.expect("read", "returned")
+	r.on(r.d.Stop)
+	time.Sleep(650 * time.Millisecond)
+	k.fail(faults.Accept, unix.ENFILE, 300*time.Millisecond)
+	var clients []*client
+	for range 12 {
+		c := r.dial()
+		c.send("read", "in")
+		clients = append(clients, c)
+	}
+	closed := 0
+	for _, c := range clients {
+		if _, ok := c.answer(); !ok {
+			closed++
+		}
+	}
+	if closed > 0 || k.hits.Load() == 0 {
+		t.Errorf("%d of 12 closed without an answer; accept failed %d times", closed, k.hits.Load())
+	}
+}
+
+// A start outlasts what passes: one system call that fails for a moment, a configuration half written or not readable.
+func TestStartOutlastsPassingFailures(t *testing.T) {
+	for _, c := range []struct {
+		call  faults.Call
+		errno syscall.Errno
+	}{{faults.Socket, unix.ENOBUFS}, {faults.Socket, unix.ENFILE}, {faults.Bind, unix.EADDRNOTAVAIL}, {faults.Listen, unix.ENOBUFS},
+		{faults.EpollCreate, unix.EMFILE}, {faults.EventFD, unix.ENFILE}, {faults.EpollControl, unix.ENOMEM}, {faults.ReadFile, unix.EIO}} {
+		t.Run(string(c.call)+" "+unix.ErrnoName(c.errno), func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			t.Setenv("LB_CONFIG", path)
+			os.WriteFile(path, []byte(runFile(t)), 0o600)
+			k := newFailing(t)
+			k.fail(c.call, c.errno, 150*time.Millisecond)
+			runUntilServing(t)
+			if k.hits.Load() == 0 {
+				t.Error("the call never failed")
+			}
+		})
+	}
+	t.Run("half written", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		t.Setenv("LB_CONFIG", path)
+		text := runFile(t)
+		os.WriteFile(path, []byte(text[:len(text)/2]), 0o600)
+		time.AfterFunc(150*time.Millisecond, func() { os.WriteFile(path, []byte(text), 0o600) })
+		runUntilServing(t)
+	})
+}
+
+// runUntilServing runs the process until it says that it serves, and then stops it.
+func runUntilServing(t *testing.T) {
+	t.Helper()
+	out := &watchedLog{lines: make(chan string, 1000)}
+	code := make(chan int, 1)
+	go func() { code <- Run(out) }()
+	deadline := time.After(5 * time.Second)
+	for {
+		select {
+		case line := <-out.lines:
+			if strings.Contains(line, `"serving"`) {
+				syscall.Kill(os.Getpid(), syscall.SIGTERM)
+				if c := <-code; c != 0 {
+					t.Errorf("exit %d", c)
+				}
+				return
+			}
+		case c := <-code:
+			t.Fatalf("exit %d before it served", c)
+		case <-deadline:
+			t.Fatal("it does not serve")
+		}
+	}
+}
+
+// watchedLog hands each line of a log on, and drops those nobody reads.
+type watchedLog struct{ lines chan string }
+
+func (w *watchedLog) Write(b []byte) (int, error) {
+	select {
+	case w.lines <- string(b):
+	default:
+	}
+	return len(b), nil
+}
+
+// After a standstill of the process the deadlines passed on are what clients have left, counted from when their requests
+// came in; on open connections, on new ones, and where the standstill comes in the middle of a turn.
+func standstillShortensDeadlines(t *testing.T) {
+	const still = 600 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		stop func(k *failing, d time.Duration)
+		open bool
+	}{
+		{"before the look, open connection", func(k *failing, d time.Duration) { k.still.Store(int64(d)) }, true},
+		{"before the look, new connection", func(k *failing, d time.Duration) { k.still.Store(int64(d)) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := newFailing(t)
+			w := newWorker(t, "w1", fine)
+			r := newRig(t, "load", w)
+			r.expect("read", "returned")
+			var clients []*client
+			for range 10 {
+				clients = append(clients, r.dial())
+			}
+			if c.open {
+				r.until("all are accepted", func() bool { return r.d.front.conns >= 10 })
+			}
+			c.stop(k, still)
+			r.d.Loop.Post(func() {}) // ends the wait at hand; the next one stands still
+			time.Sleep(30 * time.Millisecond)
+			if !c.open {
+				for i := range clients {
+					clients[i] = r.dial()
+				}
+			}
+			sent := time.Now()
+			for _, c := range clients {
+				c.send("read", "in")
+			}
+			for _, c := range clients {
+				if a, ok := c.answer(); !ok || kind(a) != "returned" {
+					t.Errorf("%+v %v", a, ok)
+				}
+			}
+			if took := time.Since(sent); took < still/2 {
+				t.Fatalf("answered after %v: it did not stand still", took)
+			}
+			checkBudgets(t, w.seen("invoke")[1:], time.Duration(patienceMS)*time.Millisecond-(still-50*time.Millisecond)+150*time.Millisecond)
+		})
+	}
+}
+
+// checkBudgets looks at the deadlines passed on.
+func checkBudgets(t *testing.T, list []seen, most time.Duration) {
+	t.Helper()
+	long := 0
+	for _, m := range list {
+		if budget(t, m) > most {
+			long++
+		}
+	}
+	if long > 0 || len(list) == 0 {
+		t.Errorf("%d of %d deadlines are longer than %v", long, len(list), most)
+	}
+}
+
+// budget is the deadline in an attempt.
+func budget(t *testing.T, m seen) time.Duration {
+	t.Helper()
+	_, rest, _ := strings.Cut(m.fields, "budget=")
+	ms, _, _ := strings.Cut(rest, ",")
+	d, err := time.ParseDuration(ms + "ms")
+	if err != nil {
+		t.Fatalf("%s: %v", m.fields, err)
+	}
+	return d
+}
+
+// After a standstill, or one in the middle of a turn, no attempt begins for a client that has closed or cancelled meanwhile,
+// also where its leaving lies behind more bytes than one read takes.
+func standstillHearsLeavingFirst(t *testing.T) {
+	const still = 500 * time.Millisecond
+	before := func(k *failing, r *rig) { k.still.Store(int64(still)); r.d.Loop.Post(func() {}) }
+	middle := func(k *failing, r *rig) {
+		k.mid.Store(int64(still)) // the read of this probe stands still, and the requests are read in the same turn
+		r.dial().Write([]byte{0})
+	}
+	for _, c := range []struct {
+		name   string
+		still  func(k *failing, r *rig)
+		behind int // bytes of other requests before the leaving
+		cancel bool
+	}{{"closes", before, 0, false}, {"cancels", before, 0, true}, {"closes behind much", before, 8, false}, {"cancels behind much", before, 8, true},
+		{"closes in the middle of a turn", middle, 0, false}, {"cancels in the middle of a turn", middle, 0, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			k := newFailing(t)
+			w := newWorker(t, "w1", fine)
+			r := newRig(t, "load", w)
+			r.expect("read", "returned")
+			var clients []*client
+			for range 10 {
+				clients = append(clients, r.dial())
+			}
+			r.until("all are accepted", func() bool { return r.d.front.conns >= 10 })
+			c.still(k, r)
+			time.Sleep(30 * time.Millisecond)
+			for _, cl := range clients {
+				for range c.behind {
+					cl.send("read", strings.Repeat("x", 15<<10))
+				}
+				seq := cl.send("read", "gone")
+				if c.cancel {
+					for n := int32(1); n <= seq; n++ {
+						cl.Write(cancelFrame(n))
+					}
+				} else {
+					cl.Close()
+				}
+			}
+			time.Sleep(still + 200*time.Millisecond)
+			if n := len(w.seen("invoke")) - 1; n > 0 {
+				t.Errorf("%d attempts begin after their clients have gone", n)
+			}
+			r.expect("read", "returned")
+		})
+	}
+}
+
+func cancelFrame(target int32) []byte { return frame(thrifttest.Cancel(target)) }
