Loop: nobody in the backlog is closed; time counts from when things came in

Seen: with accept failing each other time (ENFILE, ENOBUFS, ENOMEM, EMFILE), 2 of 12 connections were closed with no answer, 12 of 12 while draining. Cause: Listener.refuse took a connection only to close it, Drain closed the listener while it rested, and a front without room returned no handler. Change: what passes rests 5 to 50 ms and the backlog waits; room is asked for before accept; a drain ends when the backlog is empty; a descriptor used up is won back from a connection that rests. epoll_ctl that fails is tried again instead of closing the connection; connect and socket errors that speak of this machine are tried again in the connect time-out and do not count against the worker; read and write rest on ENOMEM and ENOBUFS.

Seen: after 0.6 s, 10 of 10 deadlines passed on too long, 10 attempts for clients that had closed. Ruled out: the decisions (they are told the time that the front gives). Cause: NotAfter counted from Loop.Now at the look (client_conn.infer), one read a turn, messages not looked at again before their write. Change: each look proves what had not come in before it; Conn.HeardAt counts from there, waits last 50 ms at most so that a standstill shows; after one, all that came in is heard before anything goes out; a message that waited is judged by internal/permit again at its first byte, and written anew with a fresh deadline.

TestDescriptorsRunOut expected some connections to be refused by a close, which breaks the promise; it now expects all 12 served, and that the loop does not spin meanwhile.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,7 +58,8 @@
 	q.pending++
 	w.meter.attempts.Inc()
 	g.Note("attempt", "", q, w, timeout)
-	if why := permit.Attempt(f.made, q.terms(w, f.Index), w.ready()); why != permit.Allowed { // whatever was decided
+	terms := q.terms(w, f.Index)
+	if why := permit.Attempt(f.made, terms, w.ready()); why != permit.Allowed { // whatever was decided
 		g.Metrics.guard("forward_barred")
 		g.violation(why, "attempt", q, w)
 		f.barred = true
@@ -68,26 +69,13 @@
 	if timeout > 0 {
 		g.Loop.Start(&f.timer, timeout)
 	}
-	if f.NotAfter = q.repeatsUntil(); !math.IsInf(f.NotAfter, 1) {
+	if f.NotAfter = repeatsUntil(terms); !math.IsInf(f.NotAfter, 1) {
 		g.Loop.Start(&f.window, f.NotAfter-f.made)
 	}
 	w.Sent()
 	w.link.Send(f)
 }
 
-// repeatsUntil is when the window ends in which workers drop a repeat, counted from the first attempt that may have run;
-// endless where there is none, or where repeats do no harm.
-func (q *Request) repeatsUntil() float64 {
-	if q.group.Effect == "deduped" {
-		for _, f := range q.attempts[:q.attempted-1] {
-			if !f.done || !f.result.NeverRan() {
-				return f.made + q.group.Window.Seconds
-			}
-		}
-	}
-	return math.Inf(1)
-}
-
 // Shed answers that trying again is harmless.
 func (g *Gateway) Shed(id control.RequestID, retryAfter control.Seconds) {
 	if q := g.lookupRequest(id); q != nil && q.Client != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"mastchute/internal/http1"
 	"mastchute/internal/loop"
 	"mastchute/internal/membership"
+	"mastchute/internal/permit"
 )
 
 func TestReturnedAnswerGoesThrough(t *testing.T) {
@@ -263,15 +264,15 @@
 // The window counts from the first attempt that may have run.
 func TestWindowCountsFromTheFirstThatMayHaveRun(t *testing.T) {
 	q := &Request{group: &group{}, attempted: 4}
-	q.group.Effect, q.group.Window = "deduped", config.S(2)
+	q.group.effect, q.group.Window = permit.Deduplicated, config.S(2)
 	q.attempts = [maxAttempts]*Attempt{{made: 1, done: true, result: control.Full}, {made: 3, done: true, result: control.Reset}, {made: 4}, {made: 4.5}}
-	if until := q.repeatsUntil(); until != 5 {
+	if until := repeatsUntil(q.terms(nil, q.attempted-1)); until != 5 {
 		t.Errorf("it ends at %g", until)
 	}
-	if q.attempted = 2; !math.IsInf(q.repeatsUntil(), 1) {
+	if q.attempted = 2; !math.IsInf(repeatsUntil(q.terms(nil, q.attempted-1)), 1) {
 		t.Error("a forward that never ran begins the window")
 	}
-	if q.attempted, q.group.Effect = 4, "retriable"; !math.IsInf(q.repeatsUntil(), 1) {
+	if q.attempted, q.group.effect = 4, permit.Retriable; !math.IsInf(repeatsUntil(q.terms(nil, q.attempted-1)), 1) {
 		t.Error("a retriable one has a window")
 	}
 }
--- a/internal/gateway/http_front.go
+++ b/internal/gateway/http_front.go
@@ -171,7 +171,7 @@
 	in := control.Request{Group: m.group.index, MemoryMB: m.Memory, Lanes: m.Lanes, Load: m.Load, NotAfter: math.Inf(1),
 		Repeat: http1.Is(x.Head.Get("mastchute-repeat"), "true"), Work: number(x.Head.Get("mastchute-work"))}
 	if v := x.Head.Get("mastchute-timeout"); v != nil {
-		in.NotAfter = g.Loop.Now() + number(v)
+		in.NotAfter = x.HeardAt() + number(v)
 	}
 	tenant := -1
 	if t := x.Head.Get("mastchute-tenant"); len(t) > 0 {
@@ -180,7 +180,7 @@
 		}
 	}
 	c := p.take(x)
-	c.q = g.Accept(c, m, tenant, in)
+	c.q = g.Accept(c, m, tenant, x.HeardAt(), in)
 }
 
 func (p *httpFront) take(x *h1.Exchange) *httpClient {
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -105,9 +105,6 @@
 // Done tells whether it has ended.
 func (f *Attempt) Done() bool { return f.done }
 
-// MayLeave tells whether it may still be written to a connection.
-func (f *Attempt) MayLeave() bool { return f.g.Loop.Now() <= f.NotAfter }
-
 // End tells how it ended, by a result that Heard or the connection tells; nothing after the first time.
 func (f *Attempt) End(r control.Result) { f.g.end(f, r) }
 
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math"
+
 	"mastchute/control"
 	"mastchute/internal/flightrec"
 	"mastchute/internal/permit"
@@ -8,19 +10,28 @@
 
 // terms is what the rules need to know of a request for an attempt at a worker, given the attempts before it.
 func (q *Request) terms(w *Worker, before int) permit.Request {
-	t := permit.Request{Answered: q.answered, NotAfter: q.notAfter, Effect: q.group.effect, Window: q.group.Window.Seconds}
+	t := permit.Request{Answered: q.answered, NotAfter: q.notAfter, Effect: q.group.effect, RepeatsUntil: math.Inf(1)}
 	for _, f := range q.attempts[:before] {
 		if f.done && f.result.NeverRan() {
 			continue
 		}
 		if !t.MayHaveRun {
-			t.MayHaveRun, t.Since, t.InScope = true, f.made, true
+			t.MayHaveRun, t.RepeatsUntil, t.InScope = true, f.made+q.group.Window.Seconds, true
 		}
 		t.InScope = t.InScope && q.group.covers(f.Worker, w)
 	}
 	return t
 }
 
+// repeatsUntil is when the window ends in which workers drop a repeat, counted from the first attempt that may have run;
+// endless where there is none, or where repeats do no harm.
+func repeatsUntil(t permit.Request) float64 {
+	if t.Effect == permit.Deduplicated && t.MayHaveRun {
+		return t.RepeatsUntil
+	}
+	return math.Inf(1)
+}
+
 // covers tells whether two workers drop each other's repeats.
 func (c *group) covers(a, b *Worker) bool {
 	switch c.Scope {
@@ -40,7 +51,9 @@
 // Permit tells whether the first byte of an attempt may go to the kernel at a time of the loop's clock, in a message that
 // was written at another. A refusal is counted: the attempt was overtaken on its way out, which is no fault.
 func (f *Attempt) Permit(now, written float64) permit.Reason {
-	why := permit.Leave(now, written, f.Request.terms(f.Worker, f.Index), f.Worker.ready())
+	terms := f.Request.terms(f.Worker, f.Index)
+	terms.RepeatsUntil = f.NotAfter
+	why := permit.Leave(now, written, terms, f.Worker.ready())
 	if why != permit.Allowed {
 		f.g.Metrics.overtaken.WithLabelValues(ruleNames[why.Rule()], why.String()).Inc()
 		f.g.Note("overtaken", why.String(), f.Request, f.Worker, now-written)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,14 +62,14 @@
 func (g *Gateway) Serving() bool { return !g.stopping && g.module != nil }
 
 // Accept takes a request: from here on its client is owed one final answer. in says what the client told and the model's
-// group; tenant is -1 where none is told.
-func (g *Gateway) Accept(c Client, m *Model, tenant int, in control.Request) *Request {
-	now := g.Loop.Now()
+// group; tenant is -1 where none is told. cameIn is when it came in: its time counts from then.
+func (g *Gateway) Accept(c Client, m *Model, tenant int, cameIn float64, in control.Request) *Request {
 	q := g.acquire()
-	q.Client, q.model, q.group, q.arrivedAt, q.tenant = c, m, g.groups[in.Group], now, tenant
+	q.Client, q.model, q.group, q.arrivedAt, q.tenant = c, m, g.groups[in.Group], cameIn, tenant
 	m.refs++
-	span := math.Min(q.group.Timeout.Seconds, in.NotAfter-now)
-	q.notAfter = now + span
+	q.notAfter = math.Min(cameIn+q.group.Timeout.Seconds, in.NotAfter)
+	in.NotAfter = q.notAfter
+	span := q.notAfter - g.Loop.Now()
 	in.ID, in.Model, in.Tenant = q.id, m.ID, math.MaxUint16
 	if tenant >= 0 {
 		in.Tenant = control.TenantID(tenant)
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -25,6 +25,9 @@
 	drained  bool // the service waits for room
 }
 
+// HeardAt is when the last bytes of the request came in, on the loop's clock.
+func (x *Exchange) HeardAt() float64 { return x.c.conn.HeardAt() }
+
 func (x *Exchange) book(n int64) bool {
 	if !x.c.v.opt.Budget.Take(n) {
 		return false
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -29,33 +29,14 @@
 	waits    bool // the kernel took less than there was
 	notify   bool // Drained is wanted in any case
 	linger   bool
-	timer    Timer // connect time-out, then linger
-}
-
-// Dial begins a connection; h hears Opened, or Closed if it does not come up within timeout seconds.
-func (l *Loop) Dial(to netip.AddrPort, timeout float64, h Handler) *Conn {
-	c := &Conn{l: l, h: h, fd: -1, peer: to, interest: unix.EPOLLOUT}
-	domain, sa := sockaddr(to)
-	fd, err := l.kernel.Socket(domain, unix.SOCK_STREAM, 0)
-	if err == nil {
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		if err = l.kernel.Connect(fd, sa); err == nil || err == unix.EINPROGRESS {
-			c.fd = fd
-			err = l.enter(fd, c.interest, entry{c: c})
-		} else {
-			unix.Close(fd)
-		}
-	}
-	l.conns++
-	l.Stats.Conns.Add(1)
-	l.Stats.Dialled.Add(1)
-	if err != nil {
-		l.Later(func() { c.end(fmt.Errorf("connect %s: %w", to, err)) })
-		return c
-	}
-	c.timer.Fire = func() { c.end(ErrConnectTimeout) }
-	l.Start(&c.timer, timeout)
-	return c
+	dialing  bool
+	resting  bool    // the kernel has no memory for it now
+	behind   bool    // what is there may have come in before the latest looks
+	since    float64 // and after this time
+	lookedIn int64   // the latest look when it fell behind
+	heardAt  float64 // when the bytes in hand came in
+	giveUpAt float64 // when a connection that does not come up is given up
+	timer    Timer   // connect time-out, then linger
 }
 
 // Peer is the other side's address.
@@ -78,7 +59,7 @@
 
 // Write queues bytes; they go out at the end of the turn. b may be used again at once.
 func (c *Conn) Write(b []byte) {
-	if c.fd < 0 || c.linger {
+	if c.fd < 0 && !c.dialing || c.linger {
 		return
 	}
 	if c.out == nil {
@@ -109,7 +90,7 @@
 // Pause stops Data; the kernel's buffer then holds the peer back. A peer that leaves is still noticed.
 func (c *Conn) Pause() {
 	if !c.paused {
-		c.paused = true
+		c.paused, c.since = true, c.l.now
 		c.want(c.interest &^ unix.EPOLLIN)
 	}
 }
@@ -120,6 +101,7 @@
 		return
 	}
 	c.paused = false
+	c.fallBehind(c.since)
 	c.want(c.interest | unix.EPOLLIN)
 	c.Again()
 }
@@ -173,8 +155,10 @@
 // Poll reads now what the kernel holds, before the turn in which it would be heard: what has come in by the time a
 // connection is closed was sent in time. The handler hears it as ever, and may close the connection.
 func (c *Conn) Poll() {
-	if c.fd >= 0 && c.up && !c.paused && !c.linger {
-		c.read()
+	for range readsMore {
+		if c.fd < 0 || !c.up || c.paused || c.linger || !c.read() {
+			return
+		}
 	}
 }
 
@@ -205,7 +189,7 @@
 	}
 	c.l.give(c.in)
 	c.l.give(c.out)
-	c.in, c.out, c.sent, c.up = nil, nil, 0, false
+	c.in, c.out, c.sent, c.up, c.dialing = nil, nil, 0, false, false
 	c.l.conns--
 	c.l.Stats.Conns.Add(-1)
 	for _, ln := range c.l.listeners {
@@ -250,18 +234,36 @@
 	if c.fd < 0 {
 		return
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0 {
-		if c.paused && events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) == 0 {
+	if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) == 0 {
+		return
+	}
+	leaves := events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0
+	if c.paused {
+		if leaves {
+			c.read()
+		}
+		return
+	}
+	reads := 1
+	if leaves || c.l.catchingUp {
+		reads = readsMore
+	}
+	for ; reads > 0 && c.fd >= 0 && !c.paused; reads-- {
+		if more := c.read(); !more && !leaves {
 			return
 		}
-		c.read()
 	}
 }
 
-func (c *Conn) read() {
+// read reads once, and tells whether there may be more.
+func (c *Conn) read() (more bool) {
 	n, err := c.l.kernel.Read(c.fd, c.l.scratch)
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case err == unix.EAGAIN:
+	case err == unix.EINTR:
+		return true
+	case err == unix.ENOMEM || err == unix.ENOBUFS:
+		c.rest()
 	case err != nil:
 		c.end(os.NewSyscallError("read", err))
 	case n == 0:
@@ -273,8 +275,16 @@
 			c.end(io.EOF)
 		}
 	default:
+		after := c.cameAfter()
+		c.heardAt = c.l.arrival(after)
+		if more = n == len(c.l.scratch); more {
+			c.fallBehind(after)
+		} else {
+			c.behind = false
+		}
 		c.feed(c.l.scratch[:n])
 	}
+	return more
 }
 
 // feed gives the handler what is there, and keeps what it leaves.
@@ -304,15 +314,27 @@
 }
 
 func (c *Conn) flush() {
+	if w, ok := c.h.(Writer); ok && !c.linger {
+		if w.BeforeWrite(c); c.fd < 0 {
+			return
+		}
+	}
 	for c.sent < len(c.out) {
 		n, err := c.l.kernel.Write(c.fd, c.out[c.sent:])
-		if err == unix.EAGAIN {
+		switch err {
+		case nil:
+		case unix.EINTR:
+			continue
+		case unix.EAGAIN:
 			c.waits = true
 			c.want(c.interest | unix.EPOLLOUT)
 			return
-		} else if err == unix.EINTR {
-			continue
-		} else if err != nil {
+		case unix.ENOBUFS, unix.ENOMEM:
+			c.waits = true
+			c.rest()
+			return
+		default:
+			c.Poll() // what the peer had said before counts
 			c.end(os.NewSyscallError("write", err))
 			return
 		}
@@ -337,3 +359,61 @@
 
 // NotifyDrained asks for Drained after what is written now, also where it goes out at once.
 func (c *Conn) NotifyDrained() { c.notify = true }
+
+// Writer is a Handler that wants to look once more at what is about to go to the kernel.
+type Writer interface {
+	// BeforeWrite is called before each write; it may take bytes back by Retract, or close the connection.
+	BeforeWrite(c *Conn)
+}
+
+// HeardAt is when the bytes that Data is called with came in, as early as the loop's looks allow: it may have stood
+// still since. It is on the loop's clock and never in the future.
+func (c *Conn) HeardAt() float64 { return c.heardAt }
+
+// fallBehind notes that what is there may have come in before the latest looks, but after a time.
+func (c *Conn) fallBehind(after float64) {
+	c.behind, c.since, c.lookedIn = true, after, c.l.looks
+}
+
+// cameAfter is a time at which what is read now had not come in. A connection that fell behind and that a later look did
+// not tell of had nothing then.
+func (c *Conn) cameAfter() float64 {
+	if c.behind && c.l.looks <= c.lookedIn+1 {
+		return c.since
+	}
+	return c.l.heardTo
+}
+
+// rest leaves a connection alone for a moment, as the kernel has no memory for it.
+func (c *Conn) rest() {
+	if c.resting {
+		return
+	}
+	c.resting = true
+	c.l.Stats.LocalFailures.Add(1)
+	c.since = c.cameAfter()
+	c.want(c.interest &^ unix.EPOLLIN)
+	c.l.resting = append(c.l.resting, c)
+	if !c.l.restTimer.Pending() {
+		c.l.Start(&c.l.restTimer, localRest)
+	}
+}
+
+// goOn goes on with the connections that rest.
+func (l *Loop) goOn() {
+	list := l.resting
+	l.resting = nil
+	for _, c := range list {
+		c.resting = false
+		if c.fd < 0 {
+			continue
+		}
+		c.fallBehind(c.since)
+		if !c.paused {
+			c.want(c.interest | unix.EPOLLIN)
+		}
+		if c.waits {
+			c.flush()
+		}
+	}
+}
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -10,15 +10,23 @@
 	"golang.org/x/sys/unix"
 )
 
-// Listener accepts connections.
+// Listener accepts connections. No connection that the kernel holds is ever closed unheard: while none can be taken,
+// they wait in the backlog.
 type Listener struct {
-	l      *Loop
-	fd     int
-	addr   netip.AddrPort
-	accept func()
-	rest   float64
-	timer  Timer
-	paused bool
+	// Room, where set, is asked before each connection is accepted; where it says no, connections wait in the backlog.
+	// With one known to wait it is asked to make room.
+	Room func(makeIt bool) bool
+
+	l        *Loop
+	fd       int
+	addr     netip.AddrPort
+	accepted func(c *Conn) Handler
+	rest     float64
+	timer    Timer
+	paused   bool
+	draining bool
+	behind   bool    // connections may wait from before the last look
+	emptyAt  float64 // the backlog was empty then, or later
 }
 
 // Listen opens a TCP listener; accepted returns the handler of a new connection. Port 0 takes a free one, which
@@ -37,16 +45,12 @@
 		unix.Close(fd)
 		return nil, fmt.Errorf("listen %s: %w", at, err)
 	}
-	ln := &Listener{l: l, fd: fd, addr: at}
+	ln := &Listener{l: l, fd: fd, addr: at, accepted: accepted, emptyAt: l.now}
 	if sa, err := unix.Getsockname(fd); err == nil {
 		ln.addr = addrPort(sa)
 	}
-	ln.accept = func() { ln.acceptSome(accepted) }
-	ln.timer.Fire = ln.resume
-	if err := l.enter(fd, unix.EPOLLIN, entry{l: ln}); err != nil {
-		l.leave(fd)
-		return nil, fmt.Errorf("listen %s: %w", at, err)
-	}
+	ln.timer.Fire = ln.retry
+	l.enter(fd, unix.EPOLLIN, entry{l: ln})
 	l.listeners = append(l.listeners, ln)
 	return ln, nil
 }
@@ -54,16 +58,18 @@
 // Addr is the address listened on.
 func (ln *Listener) Addr() netip.AddrPort { return ln.addr }
 
-// Drain accepts all that wait in the listen backlog, and then ends accepting: closing would reset them, and the requests
-// they carry were taken when the kernel completed the connections.
+// Drain accepts all that wait in the backlog, however long accepting has to rest in between, and then ends accepting:
+// closing at once would reset them, and the requests they carry were taken when the kernel completed the connections.
 func (ln *Listener) Drain() {
-	for before := int64(-1); ln.fd >= 0 && !ln.paused && ln.l.Stats.Accepted.Load() != before; {
-		before = ln.l.Stats.Accepted.Load()
+	if ln.fd >= 0 && !ln.draining {
+		ln.draining = true
 		ln.accept()
 	}
-	ln.Close()
 }
 
+// Draining tells whether connections may still wait to be accepted before accepting ends.
+func (ln *Listener) Draining() bool { return ln.draining && ln.fd >= 0 }
+
 // Close ends accepting; accepted connections live on.
 func (ln *Listener) Close() {
 	if ln.fd >= 0 {
@@ -74,6 +80,7 @@
 }
 
 func (ln *Listener) pause() {
+	ln.behind = true
 	if !ln.paused {
 		ln.paused = true
 		ln.l.change(ln.fd, 0)
@@ -87,58 +94,100 @@
 	}
 }
 
-func (ln *Listener) acceptSome(accepted func(c *Conn) Handler) {
-	l := ln.l
-	for range acceptTurn {
-		if l.maxConns > 0 && l.conns >= l.maxConns {
-			ln.pause() // the kernel's backlog waits; gone resumes
+// retry goes on after a rest.
+func (ln *Listener) retry() {
+	ln.resume()
+	if ln.draining { // an empty backlog would never call
+		ln.accept()
+	}
+}
+
+// pauseFor lets accepting rest.
+func (ln *Listener) pauseFor(span float64) {
+	ln.pause()
+	ln.l.Start(&ln.timer, span)
+}
+
+// accept takes what waits, up to a bound for each turn.
+func (ln *Listener) accept() {
+	if !ln.behind {
+		ln.emptyAt = math.Max(ln.emptyAt, ln.l.heardTo)
+	}
+	for i := range acceptTurn {
+		if ln.fd < 0 || !ln.acceptOne(i == 0) {
 			return
 		}
-		fd, sa, err := ln.l.kernel.Accept(ln.fd)
-		switch {
-		case err == nil:
-		case err == unix.EAGAIN:
-			return
-		case err == unix.EMFILE || err == unix.ENFILE || err == unix.ENOBUFS || err == unix.ENOMEM:
-			l.Stats.NoDescriptor.Add(1)
-			ln.refuse()
-			ln.rest = math.Min(math.Max(2*ln.rest, acceptRest), acceptMost)
-			ln.pause()
-			l.Start(&ln.timer, ln.rest)
-			return
-		default: // the connection failed before it was accepted, ECONNABORTED and the like
-			continue
+	}
+	ln.behind = true
+	if ln.draining {
+		ln.l.Later(ln.accept)
+	}
+}
+
+// acceptOne takes one connection, and tells whether to go on. Where one is sure to wait, room is made for it.
+func (ln *Listener) acceptOne(sure bool) bool {
+	l := ln.l
+	if l.maxConns > 0 && l.conns >= l.maxConns {
+		ln.pause() // gone resumes
+		if ln.draining {
+			l.Start(&ln.timer, acceptRest)
+		}
+		return false
+	}
+	if ln.Room != nil && !ln.Room(sure || ln.draining) {
+		if ln.behind = true; sure || ln.draining {
+			ln.pauseFor(roomRest)
 		}
-		ln.rest = 0
-		l.Stats.Accepted.Add(1)
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		c := &Conn{l: l, fd: fd, peer: addrPort(sa), up: true, interest: unix.EPOLLIN | unix.EPOLLRDHUP}
-		if c.h = accepted(c); c.h == nil {
-			unix.Close(fd)
-			continue
+		return false
+	}
+	fd, sa, err := l.kernel.Accept(ln.fd)
+	switch err {
+	case nil:
+	case unix.EAGAIN:
+		ln.behind, ln.emptyAt = false, l.now
+		if ln.draining {
+			ln.Close()
 		}
-		if err := l.enter(fd, c.interest, entry{c: c}); err != nil {
-			l.leave(fd)
-			c.fd = -1
-			c.h.Closed(c, err)
-			continue
+		return false
+	case unix.EMFILE:
+		l.Stats.NoDescriptor.Add(1)
+		if l.releaseReserve() || l.OnShortage != nil && l.OnShortage() {
+			return true
 		}
-		l.conns++
-		l.Stats.Conns.Add(1)
+		ln.restMore()
+		return false
+	case unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+		l.Stats.NoDescriptor.Add(1)
+		ln.restMore()
+		return false
+	default: // the connection failed before it was accepted, ECONNABORTED and the like, or EINTR
+		return true
 	}
+	ln.rest = 0
+	l.Stats.Accepted.Add(1)
+	ln.begin(fd, addrPort(sa))
+	return true
 }
 
-// refuse gives the reserve descriptor up for a moment, to take one waiting connection and close it: its client
-// learns at once, and the backlog does not keep the listener ready for ever.
-func (ln *Listener) refuse() {
-	if ln.l.reserve < 0 {
-		return
-	}
-	unix.Close(ln.l.reserve)
-	if fd, _, err := ln.l.kernel.Accept(ln.fd); err == nil {
+// restMore rests for longer each time, as what fails is the machine's.
+func (ln *Listener) restMore() {
+	ln.rest = math.Min(math.Max(2*ln.rest, acceptRest), acceptMost)
+	ln.pauseFor(ln.rest)
+}
+
+// begin takes an accepted connection in.
+func (ln *Listener) begin(fd int, peer netip.AddrPort) {
+	l := ln.l
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c := &Conn{l: l, fd: fd, peer: peer, up: true, interest: unix.EPOLLIN | unix.EPOLLRDHUP}
+	c.fallBehind(ln.emptyAt)
+	if c.h = ln.accepted(c); c.h == nil {
 		unix.Close(fd)
+		return
 	}
-	ln.l.reserve, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	l.conns++
+	l.Stats.Conns.Add(1)
+	l.enter(fd, c.interest, entry{c: c})
 }
 
 func sockaddr(a netip.AddrPort) (int, unix.Sockaddr) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,7 +5,7 @@
 //
 // Everything but Post, Stop and Stats is to be called on the loop only: from handlers, timers and posted functions.
 // A turn waits, hears what is ready, fires what is due, calls OnTurn, and then writes what was queued. What one
-// connection may do in a turn is bounded (one read), so that none starves another.
+// connection may do in a turn is bounded (one read, more where the loop has to catch up), so that none starves another.
 package loop
 
 import (
@@ -23,18 +23,26 @@
 )
 
 const (
-	readSize    = 64 << 10 // bytes read from one connection in a turn
-	eventsTurn  = 512      // ready descriptors heard in a turn
-	timersTurn  = 4096     // timers fired in a turn; the rest wait for the next
-	acceptTurn  = 64       // connections accepted from one listener in a turn
-	postedTurn  = 1024     // posted functions run in a turn
-	settleTurns = 8        // rounds of OnTurn in one turn while each brings new events
-	acceptRest  = 0.05     // s without accepting after descriptors ran out; doubles
-	acceptMost  = 1.0      // s, the most of it
-	keepBuffer  = 64 << 10 // bytes: larger buffers go back to the collector
-	lingerSpan  = 1.0      // s an ended connection may take to close its side, so that the last answer is not reset
-	bufferPool  = 256      // buffers kept for reuse
-	backlogSize = 4096     // connections the kernel may hold for a listener
+	readSize     = 64 << 10 // bytes read from one connection in a turn
+	eventsTurn   = 512      // ready descriptors heard in a turn
+	timersTurn   = 4096     // timers fired in a turn; the rest wait for the next
+	acceptTurn   = 64       // connections accepted from one listener in a turn
+	postedTurn   = 1024     // posted functions run in a turn
+	settleTurns  = 8        // rounds of OnTurn in one turn while each brings new events
+	acceptRest   = 0.005    // s without accepting after the kernel had no means for it; doubles
+	acceptMost   = 0.05     // s, the most of it: clients wait meanwhile
+	roomRest     = 0.01     // s without accepting while there is no room for another connection
+	localRest    = 0.01     // s after a system call failed for want of the machine's means until it is tried again
+	heartbeat    = 0.05     // s that a wait lasts at most, so that a standstill shows
+	arrivalSlack = 0.1      // s between two looks that count as none: deadlines may be so much too long, and a little more
+	lookSpan     = 0.05     // s since the latest look after which there is another one before anything goes out
+	looksTurn    = 2        // of those in a turn
+	looksMore    = 8        // looks in a row while each tells of as many events as fit
+	readsMore    = 16       // reads of one connection in a turn that has to catch up, or whose peer has closed
+	keepBuffer   = 64 << 10 // bytes: larger buffers go back to the collector
+	lingerSpan   = 1.0      // s an ended connection may take to close its side, so that the last answer is not reset
+	bufferPool   = 256      // buffers kept for reuse
+	backlogSize  = 4096     // connections the kernel may hold for a listener
 )
 
 // ErrConnectTimeout ends a dialled connection that did not come up in time; nothing was written to it.
@@ -58,6 +66,8 @@
 // Stats counts, for operators; all fields grow but Conns.
 type Stats struct {
 	Conns, Accepted, Dialled, NoDescriptor, Turns atomic.Int64
+	LocalFailures                                 atomic.Int64 // system calls that failed for want of the machine's means
+	Standstills                                   atomic.Int64 // looks that came late by more than arrivalSlack
 	LateNs                                        atomic.Int64 // how late the latest due timer fired, ns
 	TurnNs                                        atomic.Int64 // longest turn so far, ns
 }
@@ -65,7 +75,9 @@
 // Loop is one event loop. Make it by New, run it by Run on a goroutine of its own.
 type Loop struct {
 	OnTurn func() // called after the events of a turn and before its writes; may be nil
-	Stats  Stats
+	// OnShortage is asked to free a descriptor of this process, and tells whether it did; may be nil.
+	OnShortage func() bool
+	Stats      Stats
 
 	kernel    sys.Kernel
 	ep, wake  int
@@ -92,12 +104,16 @@
 	lingering int // of them, those that CloseFlushed ends
 	maxConns  int
 	listeners []*Listener
-}
 
-type entry struct {
-	gen int32
-	c   *Conn
-	l   *Listener
+	events     [eventsTurn]unix.EpollEvent
+	lookedAt   float64 // what is not heard by then had not come in at this time
+	heardTo    float64 // the same of the look before
+	looks      int64
+	catchingUp bool // the loop stood still before its latest look
+	unarmed    []unarmed
+	armTimer   Timer
+	resting    []*Conn
+	restTimer  Timer
 }
 
 // New makes a loop that holds at most maxConns connections, dialled ones included; 0 means no limit but the
@@ -119,7 +135,8 @@
 		unix.Close(wake)
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
-	l.reserve, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	l.armTimer.Fire, l.restTimer.Fire = l.armAgain, l.goOn
+	l.restoreReserve()
 	return l, nil
 }
 
@@ -148,7 +165,11 @@
 	l.mu.Unlock()
 	if l.waked.CompareAndSwap(false, true) {
 		var one = [8]byte{1}
-		l.kernel.Write(l.wake, one[:])
+		for {
+			if _, err := l.kernel.Write(l.wake, one[:]); err != unix.EINTR {
+				break // the heartbeat hears of it in any case
+			}
+		}
 	}
 }
 
@@ -167,15 +188,13 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	defer l.close()
-	var events [eventsTurn]unix.EpollEvent
 	for !l.stopped {
-		n, err := l.kernel.EpollWait(l.ep, events[:], l.timeout())
-		if err != nil && err != unix.EINTR {
+		if err := l.look(l.timeout()); err != nil {
 			return fmt.Errorf("epoll: %w", err)
 		}
-		l.now = l.Clock()
-		l.turn(events[:max(n, 0)])
-		if took := int64((l.Clock() - l.now) * 1e9); took > l.Stats.TurnNs.Load() {
+		began := l.now
+		l.turn()
+		if took := int64((l.Clock() - began) * 1e9); took > l.Stats.TurnNs.Load() {
 			l.Stats.TurnNs.Store(took)
 		}
 		l.Stats.Turns.Add(1)
@@ -188,46 +207,31 @@
 	if len(l.later) > 0 || len(l.dirty) > 0 || len(l.refeed) > 0 {
 		return 0
 	}
-	if len(l.timers.heap) == 0 {
-		return -1
+	wait := heartbeat
+	if len(l.timers.heap) > 0 {
+		wait = math.Min(wait, math.Max(0, l.timers.heap[0].at-l.Clock()))
 	}
-	wait := l.timers.heap[0].at - l.Clock()
-	return int(math.Ceil(math.Min(math.Max(0, wait), 60) * 1e3))
+	return int(math.Ceil(wait * 1e3))
 }
 
-func (l *Loop) turn(events []unix.EpollEvent) {
-	for i := range events {
-		e := &events[i]
-		if e.Pad < 0 {
-			var b [8]byte
-			l.kernel.Read(l.wake, b[:])
-			l.waked.Store(false) // after the read: else a Post in between would be read away, and none wake us again
-			continue
-		}
-		if int(e.Fd) >= len(l.fds) || l.fds[e.Fd].gen != e.Pad {
-			continue // of a descriptor closed in this turn
-		}
-		if in := l.fds[e.Fd]; in.c != nil {
-			in.c.ready(e.Events)
-		} else if in.l != nil {
-			in.l.accept()
-		}
-	}
+// turn goes on from what was heard. Nothing goes out before all is heard that came in while the process stood still.
+func (l *Loop) turn() {
 	l.runPosted()
-	for range timersTurn {
-		t := l.timers.due(l.now)
-		if t == nil {
-			break
-		}
-		l.Stats.LateNs.Store(int64((l.now - t.at) * 1e9))
-		t.Fire()
-	}
+	l.runTimers()
+	looks := 0
 	for range settleTurns {
 		l.runLater()
 		l.runRefeed()
 		if l.OnTurn != nil {
 			l.OnTurn()
 		}
+		if len(l.dirty) > 0 && looks < looksTurn && l.stale() {
+			looks++
+			if l.look(0) == nil {
+				l.runTimers()
+				continue
+			}
+		}
 		l.flush()
 		if len(l.later) == 0 && len(l.refeed) == 0 {
 			break
@@ -235,6 +239,17 @@
 	}
 }
 
+func (l *Loop) runTimers() {
+	for range timersTurn {
+		t := l.timers.due(l.now)
+		if t == nil {
+			break
+		}
+		l.Stats.LateNs.Store(int64((l.now - t.at) * 1e9))
+		t.Fire()
+	}
+}
+
 func (l *Loop) runPosted() {
 	l.mu.Lock()
 	l.posted, l.postedRun = l.postedRun[:0], l.posted
@@ -293,26 +308,6 @@
 	l.fds = nil
 }
 
-// enter registers a descriptor.
-func (l *Loop) enter(fd int, events uint32, e entry) error {
-	for len(l.fds) <= fd {
-		l.fds = append(l.fds, entry{})
-	}
-	l.gen = (l.gen + 1) & math.MaxInt32
-	e.gen = l.gen
-	l.fds[fd] = e
-	return l.kernel.EpollControl(l.ep, unix.EPOLL_CTL_ADD, fd, events, e.gen)
-}
-
-func (l *Loop) change(fd int, events uint32) {
-	l.kernel.EpollControl(l.ep, unix.EPOLL_CTL_MOD, fd, events, l.fds[fd].gen)
-}
-
-func (l *Loop) leave(fd int) {
-	l.fds[fd] = entry{}
-	unix.Close(fd)
-}
-
 // buffer returns an empty buffer to grow; give takes it back.
 func (l *Loop) buffer() []byte {
 	if n := len(l.free); n > 0 {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -216,8 +216,8 @@
 	}
 }
 
-// With no descriptor left, one waiting connection is refused by the reserve, accepting rests, and goes on once there
-// are descriptors again.
+// With no descriptor left, accepting rests, nobody who waits is closed, and all are served once there are descriptors
+// again; the loop does not spin meanwhile.
 func TestDescriptorsRunOut(t *testing.T) {
 	l, err := New(0)
 	if err != nil {
@@ -256,6 +256,11 @@
 	for i := 0; l.Stats.NoDescriptor.Load() < 2 && i < 1000; i++ {
 		time.Sleep(5 * time.Millisecond)
 	}
+	turns := l.Stats.Turns.Load()
+	time.Sleep(200 * time.Millisecond)
+	if n := l.Stats.Turns.Load() - turns; n > 60 {
+		t.Errorf("%d turns in 0.2 s without a descriptor", n)
+	}
 	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &old); err != nil {
 		t.Fatal(err)
 	}
@@ -272,8 +277,8 @@
 			refused++
 		}
 	}
-	if refused == 0 || served < 5 {
-		t.Errorf("%d served and %d refused of 12: some were to be refused at once, and the rest served later", served, refused)
+	if refused > 0 || served != 12 {
+		t.Errorf("%d served and %d refused of 12: those that wait are to be served later", served, refused)
 	}
 	l.Stop()
 	if err := <-done; err != nil {
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -71,13 +71,12 @@
 
 // Request is what of a request bears on its attempts and its answer. Times are seconds of one monotonic clock.
 type Request struct {
-	Answered   bool
-	NotAfter   float64 // the end of the client's time
-	Effect     Effect
-	MayHaveRun bool    // an earlier attempt is out, or may have run
-	Since      float64 // when the earliest of those was made
-	Window     float64 // for which workers drop repeats from then on
-	InScope    bool    // the worker in question drops repeats of that attempt
+	Answered     bool
+	NotAfter     float64 // the end of the client's time
+	Effect       Effect
+	MayHaveRun   bool    // an earlier attempt is out, or may have run
+	RepeatsUntil float64 // the end of the time in which workers drop repeats of it
+	InScope      bool    // the worker in question drops repeats of it
 }
 
 // Attempt tells whether an attempt may be made at a worker, ready or not.
@@ -95,7 +94,7 @@
 		return MayHaveRun
 	case !q.InScope:
 		return OutOfScope
-	case now > q.Since+q.Window:
+	case now > q.RepeatsUntil:
 		return WindowOver
 	}
 	return Allowed
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -4,7 +4,7 @@
 
 func TestAttempt(t *testing.T) {
 	once := Request{NotAfter: 10, Effect: NonRetriable, MayHaveRun: true}
-	dedup := Request{NotAfter: 10, Effect: Deduplicated, MayHaveRun: true, Since: 1, Window: 2, InScope: true}
+	dedup := Request{NotAfter: 10, Effect: Deduplicated, MayHaveRun: true, RepeatsUntil: 3, InScope: true}
 	out := dedup
 	out.InScope = false
 	for _, c := range []struct {
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -263,8 +263,9 @@
 	if !ok {
 		tenant = -1
 	}
-	k.q = p.g.Accept(k, model, tenant, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
-		Work: m.Work, Load: m.Load, NotAfter: p.l.Now() + m.Timeout, Repeat: m.Repeat})
+	cameIn := c.conn.HeardAt()
+	k.q = p.g.Accept(k, model, tenant, cameIn, control.Request{Group: control.GroupID(group), MemoryMB: m.MemoryMB, Lanes: m.Lanes,
+		Work: m.Work, Load: m.Load, NotAfter: cameIn + m.Timeout, Repeat: m.Repeat})
 	k.q.SetTrace(key)
 }
 
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -64,8 +64,12 @@
 	p.quiet.Fire = p.closeIdle
 	p.workers.init(p, f)
 	var err error
-	p.listener, err = p.l.Listen(f.listen, p.accept)
-	return p, err
+	if p.listener, err = p.l.Listen(f.listen, p.accept); err != nil {
+		return nil, err
+	}
+	p.listener.Room = p.room
+	p.l.OnShortage = p.freeDescriptor
+	return p, nil
 }
 
 // Drain implements gateway.Front: connection draining. All that is still sent is answered, so connections stay open until
@@ -98,18 +102,46 @@
 
 // Conns and Held implement gateway.Front.
 
-func (p *front) Conns() int  { return p.conns }
+func (p *front) Conns() int {
+	if p.listener.Draining() {
+		return p.conns + 1 // some may wait to be accepted
+	}
+	return p.conns
+}
+
 func (p *front) Held() int64 { return p.bodies }
 
 func (p *front) Addr() netip.AddrPort { return p.listener.Addr() }
 
 func (p *front) refuse(why string) { p.refused[why]++ }
 
-func (p *front) accept(conn *loop.Conn) loop.Handler {
-	if p.conns+p.l.Lingering() >= p.most && !p.makeRoom() {
-		p.refuse("no_descriptor")
-		return nil
+// room tells whether another client can be taken; until then it waits, unheard but not refused. With makeIt, a connection
+// that rests is closed for it.
+func (p *front) room(makeIt bool) bool {
+	if p.conns+p.l.Lingering() < p.most {
+		return true
+	}
+	if !makeIt {
+		return false
+	}
+	if p.makeRoom() {
+		return true
 	}
+	p.refuse("no_descriptor")
+	return false
+}
+
+// freeDescriptor closes a connection that rests, where the process has no descriptor left.
+func (p *front) freeDescriptor() bool {
+	before := p.conns + len(p.workers.conns)
+	p.workers.closeIdle()
+	if p.conns+len(p.workers.conns) == before {
+		p.makeRoom()
+	}
+	return p.conns+len(p.workers.conns) < before
+}
+
+func (p *front) accept(conn *loop.Conn) loop.Handler {
 	c := &clientConn{p: p, conn: conn}
 	c.timer.Fire = c.expired
 	p.conns++
--- a/internal/platform/outgoing.go
+++ b/internal/platform/outgoing.go
@@ -16,7 +16,7 @@
 	name     [24]byte // id or tag
 	n        int
 	from, to uint64  // its place among the bytes of the connection
-	handed   float64 // when it was written to the connection
+	handed   float64 // when it was written to the connection; the deadline in it is of then
 }
 
 func (l *link) record(call *any) *sent {
@@ -57,12 +57,7 @@
 		return
 	}
 	r.c = nil
-	for i, o := range c.open {
-		if o == r {
-			c.open = append(c.open[:i], c.open[i+1:]...)
-			break
-		}
-	}
+	c.forget(r)
 	switch left := c.conn.Sent(); {
 	case left >= r.to:
 		if r.f != nil {
@@ -70,13 +65,7 @@
 			c.conn.Write(b)
 			c.l.s.p.scratch = b[:0]
 		}
-	case c.conn.Retract(r.from, r.to):
-		for _, o := range c.open {
-			if o.from >= r.to {
-				o.from -= r.to - r.from
-				o.to -= r.to - r.from
-			}
-		}
+	case c.retract(r):
 	default: // part of it has left: the worker does not read, and the rest is not to be sent any more
 		c.end(control.Reset, "given_up_in_part")
 		return
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"io"
-	"math"
 	"syscall"
 
 	"mastchute/control"
 	"mastchute/internal/gateway"
 	"mastchute/internal/lines"
 	"mastchute/internal/loop"
+	"mastchute/internal/permit"
 	"mastchute/internal/thrift"
 )
 
@@ -28,13 +28,14 @@
 func (c *workerConn) write(r *sent) {
 	p := c.l.s.p
 	b := p.scratch[:0]
+	now := p.l.Clock()
 	name := r.name[:r.n]
 	answered := true
 	switch {
 	case r.f != nil:
 		k := r.f.Request.Client.(*call)
-		left := math.Max(1, math.Floor((r.f.Request.NotAfter()-p.l.Now())*1e3))
-		b = lines.AppendInvoke(b, name, k.group, []byte(r.f.Request.Model().Name), k.mark, int64(left), k.body)
+		budget := permit.Budget(now, r.f.Request.NotAfter())
+		b = lines.AppendInvoke(b, name, k.group, []byte(r.f.Request.Model().Name), k.mark, budget, k.body)
 	case r.o.Kind == gateway.OrderLoad:
 		b = lines.AppendLoad(b, name, r.o.Model.Name, r.o.Copies)
 	case r.o.Kind == gateway.OrderUnload:
@@ -42,7 +43,7 @@
 	default:
 		b = lines.AppendProbe(b, name)
 	}
-	r.c, r.handed = c, p.l.Now()
+	r.c, r.handed = c, now
 	r.from = c.conn.Queued()
 	r.to = r.from + uint64(len(b))
 	c.conn.Write(b)
@@ -59,6 +60,63 @@
 	c.awaits()
 }
 
+// BeforeWrite implements loop.Writer: a message that waited, for the loop or for a worker that does not read, is looked at
+// once more before its first byte goes, as events may have overtaken it and its deadline is out of date.
+func (c *workerConn) BeforeWrite(conn *loop.Conn) {
+	now, sent := c.l.s.p.l.Clock(), conn.Sent()
+	for i := len(c.open) - 1; i >= 0; i-- {
+		r := c.open[i]
+		if r.f == nil || r.to <= sent {
+			continue
+		}
+		if r.from < sent { // its head has gone with a deadline that can't be changed any more
+			if permit.Finish(now, r.handed) != permit.Allowed {
+				c.end(control.Reset, "stale_in_part")
+				return
+			}
+			continue
+		}
+		if why := r.f.Permit(now, r.handed); why != permit.Allowed && c.retract(r) {
+			c.forget(r)
+			r.c = nil
+			c.l.overtaken(r, why)
+		}
+	}
+}
+
+// overtaken takes back a message that may not go as it is: one with an old deadline is written anew.
+func (l *link) overtaken(r *sent, why permit.Reason) {
+	if why == permit.Stale {
+		l.enqueue(r)
+		return
+	}
+	r.end(control.NotSent)
+}
+
+// retract takes back the bytes of a record of which none has gone, and tells whether it could.
+func (c *workerConn) retract(r *sent) bool {
+	if !c.conn.Retract(r.from, r.to) {
+		return false
+	}
+	for _, o := range c.open {
+		if o.from >= r.to {
+			o.from -= r.to - r.from
+			o.to -= r.to - r.from
+		}
+	}
+	return true
+}
+
+// forget takes a record off those that the connection answers for.
+func (c *workerConn) forget(r *sent) {
+	for i, o := range c.open {
+		if o == r {
+			c.open = append(c.open[:i], c.open[i+1:]...)
+			return
+		}
+	}
+}
+
 // awaits starts or stops the connection's timer as it stands.
 func (c *workerConn) awaits() {
 	l := c.l.s.p.l
@@ -101,7 +159,7 @@
 func (c *workerConn) Closed(_ *loop.Conn, err error) {
 	if !c.up { // it never came up: nothing was sent on it
 		c.l.s.p.g.Note("worker_connect_failed", closeReason(err), nil, c.l.w, 0)
-		c.l.failed(c)
+		c.l.failed(c, err)
 		return
 	}
 	c.end(control.Reset, closeReason(err))
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -1,11 +1,14 @@
 package platform
 
 import (
+	"errors"
 	"net/netip"
 	"strconv"
 
 	"mastchute/control"
 	"mastchute/internal/gateway"
+	"mastchute/internal/loop"
+	"mastchute/internal/permit"
 )
 
 const (
@@ -99,7 +102,7 @@
 		}
 		r := l.queue[i]
 		r.queued = false
-		if r.f != nil && !r.f.MayLeave() {
+		if now := l.s.p.l.Clock(); r.f != nil && r.f.Permit(now, now) != permit.Allowed {
 			r.end(control.NotSent)
 			continue
 		}
@@ -159,19 +162,33 @@
 	s.starved = s.starved[:0]
 }
 
-// makeRoom closes an idle connection to another worker.
-func (s *workers) makeRoom() bool {
+// closeIdle closes one idle connection to a worker, and tells whether there was one.
+func (s *workers) closeIdle() bool {
 	for c := range s.conns {
 		if c.up && len(c.open) == 0 {
 			c.end(control.NotSent, "idle_closed")
 			return true
 		}
 	}
+	return false
+}
+
+// makeRoom closes an idle connection to another worker.
+func (s *workers) makeRoom() bool {
+	if s.closeIdle() {
+		return true
+	}
 	return len(s.conns) < s.most+reservedWorkers // the first connection to a worker may draw on the reserve
 }
 
-// failed ends what waits for a connection where none is left that could take it.
-func (l *link) failed(c *workerConn) {
+// failed ends what waits for a connection where none is left that could take it. What this machine had no means for says
+// nothing of the worker.
+func (l *link) failed(c *workerConn, err error) {
+	why := control.ConnectFailed
+	if local := (*loop.LocalError)(nil); errors.As(err, &local) {
+		why = control.NotSent
+		l.s.p.refuse("no_means_to_connect")
+	}
 	l.remove(c)
 	if len(l.conns) > 0 {
 		l.mark()
@@ -181,7 +198,7 @@
 	l.queue = nil
 	for _, r := range queue {
 		r.queued = false
-		r.end(control.ConnectFailed)
+		r.end(why)
 	}
 }
 
