Starts and reloads outlast what passes; a burst of SIGHUP drops no SIGTERM

Seen, each in a test that failed before: one failed socket, bind, listen, epoll_create, eventfd, epoll_ctl or read of the configuration ended the process at its start, and so did a half-written file; SIGHUP over a half-written file left the old one in force for good; a SIGTERM behind a burst of SIGHUP was dropped (one channel of 8 for all signals, read between slow reads of the file); a log whose reader had gone ended the process by SIGPIPE. Ruled out: the loop's Post, which never blocks. Lines: newWhenFree and Run in platform/run.go, the same in app.go.

A stop counts from when the signal came, not from the end of a standstill, and with deadlines under 0.2 s it ends before the kill.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,6 +16,7 @@
 	"mastchute/internal/admin"
 	"mastchute/internal/config"
 	"mastchute/internal/gateway"
+	"mastchute/internal/lifecycle"
 	"mastchute/internal/loop"
 	"mastchute/internal/membership"
 )
@@ -30,7 +29,11 @@
 	ExitStopped = 4 // it stopped, but the grace ran out and something in flight was answered failed
 )
 
-const logLines = 10_000 // kept while the log's reader is slow; more are dropped and counted
+const (
+	logLines  = 10_000 // kept while the log's reader is slow; more are dropped and counted
+	startFor  = 5.0    // s for which a start waits for what the machine lacks
+	reloadFor = 10.0   // s for which a reload that failed is tried again
+)
 
 // Logger makes a log that never blocks its writers; close flushes it.
 func Logger(c config.Log, out io.Writer) (log zerolog.Logger, close func()) {
@@ -55,6 +58,8 @@
 	cfg     *config.Config
 	log     zerolog.Logger
 	ended   chan error
+
+	badSettings string // why the latest reload failed, once told
 }
 
 // Start makes a dispatcher and runs its loop on a goroutine of its own.
@@ -70,11 +75,13 @@
 	}
 	g, err := gateway.New(l, cfg, log, start)
 	if err != nil {
+		l.Close()
 		return nil, err
 	}
 	d := &Dispatcher{Gateway: g, Loop: l, cfg: cfg, log: log, ended: make(chan error, 1)}
 	if cfg.Admin != "off" {
 		if d.Admin, err = admin.New(g, cfg.Admin); err != nil {
+			l.Close()
 			return nil, err
 		}
 		go d.Admin.Serve()
@@ -103,13 +110,14 @@
 func Run(cfg *config.Config, file string, out io.Writer, up func(*Dispatcher)) int {
 	log, flush := Logger(cfg.Log, out)
 	defer flush()
-	sig := make(chan os.Signal, 8)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(sig)
-	dump := make(chan os.Signal, 1)
-	signal.Notify(dump, syscall.SIGUSR1)
-	defer signal.Stop(dump)
-	d, err := Start(cfg, log, nil)
+	sig := lifecycle.NewSignals()
+	sig.Notify()
+	defer sig.Close()
+	d, err := startWhenPossible(cfg, log, sig)
+	if d == nil && err == nil {
+		log.Info().Msg("told to stop before it could start")
+		return ExitOK
+	}
 	if err != nil {
 		log.Error().Err(err).Msg("not started")
 		return ExitError
@@ -127,6 +135,8 @@
 	every := time.NewTicker(time.Duration(cfg.Roster.Every.Seconds * float64(time.Second)))
 	defer every.Stop()
 	stops := 0
+	var retry lifecycle.Retry
+	var again <-chan time.Time // the next try of a reload that failed
 	for {
 		select {
 		case err := <-d.ended:
@@ -144,15 +154,16 @@
 				return ExitStopped
 			}
 			return ExitOK
-		case <-dump:
+		case <-sig.Dump:
 			d.Loop.Post(func() { d.Gateway.Dump("signal") })
 		case <-every.C:
 			w.look()
-		case s := <-sig:
-			if s == syscall.SIGHUP {
-				d.reload(file, w)
-				continue
-			}
+		case <-sig.Reload:
+			retry = lifecycle.NewRetry(time.Now(), reloadFor)
+			again = d.reload(file, w, &retry)
+		case <-again:
+			again = d.reload(file, w, &retry)
+		case <-sig.Stop:
 			grace := cfg.StopGrace.Seconds
 			if stops++; stops > 1 {
 				grace = 0
@@ -162,22 +173,50 @@
 	}
 }
 
-// reload reads the settings again, takes what can be taken in service, and says what cannot. A bad file changes
-// nothing.
-func (d *Dispatcher) reload(file string, w *watcher) {
+// startWhenPossible starts a dispatcher, again where the machine lacks something for a moment. It returns nil where it is
+// told to stop meanwhile.
+func startWhenPossible(cfg *config.Config, log zerolog.Logger, sig *lifecycle.Signals) (*Dispatcher, error) {
+	retry := lifecycle.NewRetry(time.Now(), startFor)
+	for {
+		d, err := Start(cfg, log, nil)
+		if err == nil || !lifecycle.Passing(err) {
+			return d, err
+		}
+		wait, more := retry.Next(time.Now())
+		if !more {
+			return nil, err
+		}
+		select {
+		case <-sig.Stop:
+			return nil, nil
+		case <-time.After(wait):
+		}
+	}
+}
+
+// reload reads the settings again, takes what can be taken in service, and says what cannot. A bad file changes nothing;
+// it may be half written, so it is read again when the returned channel tells, nil for never.
+func (d *Dispatcher) reload(file string, w *watcher, retry *lifecycle.Retry) <-chan time.Time {
 	if file == "" {
-		return
+		return nil
 	}
 	n, err := config.Load(file)
-	if err != nil {
-		d.log.Error().Err(err).Msg("settings not reloaded; the old ones stay in force")
-		return
+	var list []membership.Entry
+	if err == nil {
+		list, err = gateway.Entries(n.Workers)
 	}
-	list, err := gateway.Entries(n.Workers)
 	if err != nil {
-		d.log.Error().Err(err).Msg("settings not reloaded; the old ones stay in force")
-		return
+		if why := err.Error(); why != d.badSettings { // told once, not at every try
+			d.badSettings = why
+			d.log.Error().Err(err).Msg("settings not reloaded; the old ones stay in force")
+		}
+		if wait, more := retry.Next(time.Now()); more {
+			return time.After(wait)
+		}
+		d.badSettings = ""
+		return nil
 	}
+	d.badSettings = ""
 	level, _ := zerolog.ParseLevel(n.Log.Level)
 	log := d.log.Level(level)
 	w.file = n.Roster.File
@@ -190,6 +229,7 @@
 		d.Gateway.SetLog(log, n.Log.Sample)
 	})
 	w.look()
+	return nil
 }
 
 // watcher reads the file of workers when it has changed.
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -360,3 +360,43 @@
 		}
 	}
 }
+
+// A reader of the log that goes away ends nothing: requests are served, and a stop is clean.
+func TestClosedLogEndsNothing(t *testing.T) {
+	s := fleet(t, 1)
+	file := filepath.Join(t.TempDir(), "d.yaml")
+	write(t, file, settings+"workers:\n"+worker("w1", s, 0))
+	cmd := exec.Command(os.Args[0], "serve", file)
+	cmd.Env = append(os.Environ(), "MASTCHUTE_TEST_CHILD=1")
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{t: t, cmd: cmd}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		if strings.Contains(lines.Text(), `"message":"serving"`) {
+			var a struct{ Listen string }
+			if err := json.Unmarshal(lines.Bytes(), &a); err != nil {
+				t.Fatal(err)
+			}
+			p.listen = a.Listen
+			break
+		}
+	}
+	out.Close()
+	for range 3 {
+		cmd.Process.Signal(syscall.SIGHUP) // each is logged
+		time.Sleep(30 * time.Millisecond)
+	}
+	if code, _ := p.infer("species-fern"); code != 200 {
+		t.Errorf("answered %d", code)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if c := p.code(); c != 0 {
+		t.Errorf("exit %d", c)
+	}
+}
--- a/internal/loop/poll.go
+++ b/internal/loop/poll.go
@@ -146,6 +146,9 @@
 // arrival is when bytes came in that were not there at a time: no later than now, and as early as that allows.
 func (l *Loop) arrival(after float64) float64 { return math.Min(l.now, after+arrivalSlack) }
 
+// CameIn is when what was posted or heard in this turn came in, as early as the loop's looks allow.
+func (l *Loop) CameIn() float64 { return l.arrival(l.heardTo) }
+
 // releaseReserve gives the reserve descriptor back for one more connection; false where it is used already.
 func (l *Loop) releaseReserve() bool {
 	if l.reserve < 0 {
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -327,4 +328,80 @@
 	}
 }
 
+// SIGHUP in a burst, while the configuration is read slowly, does not drop the SIGTERM behind it.
+func TestBurstOfSignalsKeepsTheStop(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("LB_CONFIG", path)
+	os.WriteFile(path, []byte(runFile(t)), 0o600)
+	k := newFailing(t)
+	k.Kernel.Fail = func(c faults.Call, _ int) error {
+		if c == faults.ReadFile {
+			time.Sleep(100 * time.Millisecond) // a slow disk: the signals come in meanwhile
+		}
+		return nil
+	}
+	out := &watchedLog{lines: make(chan string, 1000)}
+	code := make(chan int, 1)
+	go func() { code <- Run(out) }()
+	for line := range out.lines {
+		if strings.Contains(line, `"serving"`) {
+			break
+		}
+	}
+	for range 30 {
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		time.Sleep(time.Millisecond)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	select {
+	case c := <-code:
+		if c != 0 {
+			t.Errorf("exit %d", c)
+		}
+	case <-time.After(4 * time.Second):
+		t.Error("SIGTERM behind a burst of SIGHUP was dropped")
+		syscall.Kill(os.Getpid(), syscall.SIGTERM)
+		<-code
+	}
+}
+
 func cancelFrame(target int32) []byte { return frame(thrifttest.Cancel(target)) }
+
+// A configuration that is half written when SIGHUP comes is in force once it is whole, without another signal.
+func TestReloadOfAHalfWrittenFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("LB_CONFIG", path)
+	text := runFile(t)
+	os.WriteFile(path, []byte(text), 0o600)
+	out := &watchedLog{lines: make(chan string, 1000)}
+	code := make(chan int, 1)
+	go func() { code <- Run(out) }()
+	out.until(t, `"serving"`)
+	other := newChangeLog(t).srv.Listener.Addr().String()
+	moved := regexp.MustCompile(`"changelog":"[^"]*"`).ReplaceAllString(text, `"changelog":"`+other+`"`)
+	os.WriteFile(path, []byte(moved[:len(moved)/2]), 0o600)
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	out.until(t, "the old one stays in force")
+	os.WriteFile(path, []byte(moved), 0o600)
+	out.until(t, `"change_log":"`+other+`"`)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if c := <-code; c != 0 {
+		t.Errorf("exit %d", c)
+	}
+}
+
+// until waits for a line that holds a text.
+func (w *watchedLog) until(t *testing.T, text string) {
+	t.Helper()
+	deadline := time.After(5 * time.Second)
+	for {
+		select {
+		case line := <-w.lines:
+			if strings.Contains(line, text) {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("no line holds %s", text)
+		}
+	}
+}
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -19,6 +19,7 @@
 	lib "github.com/apache/thrift/lib/go/thrift"
 	"github.com/rs/zerolog"
 
+	"mastchute/internal/lifecycle"
 	"mastchute/internal/thrift/thrifttest"
 )
 
@@ -165,7 +166,7 @@
 	r.on(func() { r.d.Stop() })
 	r.on(func() { r.d.stop.Fire(); r.d.Gateway.Stop(0) })
 	for timeout, kill := range map[float64]float64{0.5: 1.2, 3: 3.7, 9: 3.7} { // the platform's, after SIGTERM
-		if end := stopServe + stopGrace(timeout); end > kill-0.1 || end < kill-0.5 {
+		if end := lifecycle.PlanStop(stopTimes, timeout).End; end > kill-0.1 || end < kill-0.5 {
 			t.Errorf("timeout %g: all is answered %g s after SIGTERM, killed after %g", timeout, end, kill)
 		}
 	}
@@ -303,9 +304,9 @@
 	defer before.Close()
 	f := rigFile(t, newChangeLog(t), "load")
 	f.listen = netip.MustParseAddrPort(before.Addr().String())
-	sig := make(chan os.Signal, 2)
-	sig <- syscall.SIGHUP
-	sig <- syscall.SIGTERM
+	sig := lifecycle.NewSignals()
+	sig.Reload <- syscall.SIGHUP
+	sig.Stop <- syscall.SIGTERM
 	if d, err := newWhenFree(f, "", zerolog.Nop(), sig); d != nil || err != nil {
 		t.Errorf("told to stop: %v %v", d, err)
 	}
@@ -346,8 +347,8 @@
 		t.Fatal(err)
 	}
 	os.WriteFile(path, []byte(free), 0o600)
-	sig := make(chan os.Signal, 3)
-	sig <- syscall.SIGHUP
+	sig := lifecycle.NewSignals()
+	sig.Reload <- syscall.SIGHUP
 	d, err := newWhenFree(f, path, zerolog.Nop(), sig)
 	if err != nil || d == nil {
 		t.Fatalf("%v %v", d, err)
@@ -358,8 +359,8 @@
 		t.Error(err)
 	}
 	os.WriteFile(path, []byte("{"), 0o600) // one that can't be read leaves the start waiting by the old one
-	sig <- syscall.SIGHUP
-	sig <- syscall.SIGTERM
+	sig.Reload <- syscall.SIGHUP
+	sig.Stop <- syscall.SIGTERM
 	if d, err := newWhenFree(f, path, zerolog.Nop(), sig); d != nil || err != nil {
 		t.Errorf("told to stop: %v %v", d, err)
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -6,7 +6,6 @@
 	"io"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -18,19 +17,22 @@
 	"mastchute/internal/app"
 	"mastchute/internal/config"
 	"mastchute/internal/gateway"
+	"mastchute/internal/lifecycle"
 	"mastchute/internal/loop"
 	"mastchute/internal/membership"
 )
 
 const (
-	stopServe = 0.75 // s after SIGTERM in which all goes on: clients come for so long
-	stopLong  = 3.0  // s that the platform counts a longer timeout as, before it kills what was told to stop
-	stopKill  = 0.7  // s that it waits beyond the longest timeout
-	stopSlack = 0.15 // s kept before that kill, for the last answers to go out
-	listenFor = 20.0 // s for which a start waits for the address while the process before still holds it
-	listenGap = 0.02 // s between tries
+	listenFor  = 20.0 // s for which a start waits for what the machine lacks, or for the address that the process before still holds
+	readFor    = 1.0  // s for which a start waits for a configuration that can be read
+	reloadFor  = 10.0 // s for which a reload that can't be read is tried again: the file may be half written
+	tellEvery  = 5.0  // s from one log line of what was refused to the next
+	configName = "LB_CONFIG"
 )
 
+// stopTimes are the platform's: it kills what was told to stop.
+var stopTimes = lifecycle.StopTimes{ClientsCome: 0.6, ServeMost: 0.75, Longest: 3, Kill: 0.7, Slack: 0.15}
+
 // Dispatcher is one on the platform.
 type Dispatcher struct {
 	Gateway *gateway.Gateway
@@ -38,8 +40,9 @@
 	front   *front
 	feed    *feed
 	log     zerolog.Logger
-	file    *File // that it was started by, and that is in force but for the change log
-	timeout float64
+	file    *File   // that it was started by, and that is in force but for the change log
+	timeout float64 // the longest of the groups'
+	stopBy  float64 // on the loop's clock, once told to stop
 	stop    loop.Timer
 	told    loop.Timer // tells now and then what was refused
 	before  map[string]int
@@ -75,9 +78,9 @@
 		}
 		d.feed.follow(f.changeLog)
 	})
-	d.stop.Fire = func() { d.Gateway.Stop(stopGrace(d.timeout)) }
+	d.stop.Fire = func() { d.Gateway.Stop(d.stopBy - l.Now()) }
 	d.told.Fire = d.tell
-	l.Later(func() { l.Start(&d.told, 5) })
+	l.Later(func() { l.Start(&d.told, tellEvery) })
 	return d, nil
 }
 
@@ -94,7 +97,7 @@
 	if news {
 		e.Msg("refused or dropped so far, by reason")
 	}
-	d.Loop.Start(&d.told, 5)
+	d.Loop.Start(&d.told, tellEvery)
 }
 
 // Reload takes a new configuration in service: the change log's address, and what it knows.
@@ -117,52 +120,75 @@
 	}
 	d.front.leaving = true
 	d.log.Info().Int("in_hand", d.Gateway.InFlight()).Msg("told to stop")
-	d.Loop.Start(&d.stop, stopServe)
+	now, told := d.Loop.Now(), d.Loop.CameIn() // the signal may have come while the process stood still
+	plan := lifecycle.PlanStop(stopTimes, d.timeout)
+	d.stopBy = told + plan.End
+	d.Loop.Start(&d.stop, told+plan.Serve-now)
 }
 
 // newWhenFree makes a dispatcher by the configuration at a path; while another process holds the address, which mostly is
-// the one before and about to end, it tries again. A SIGHUP meanwhile has it read the configuration anew. It returns nil
-// where it is told to stop.
-func newWhenFree(f *File, path string, log zerolog.Logger, sig <-chan os.Signal) (*Dispatcher, error) {
-	for start := time.Now(); ; {
+// the one before and about to end, or the machine lacks something for a moment, it tries again. A SIGHUP meanwhile has it
+// read the configuration anew. It returns nil where it is told to stop.
+func newWhenFree(f *File, path string, log zerolog.Logger, sig *lifecycle.Signals) (*Dispatcher, error) {
+	retry := lifecycle.NewRetry(time.Now(), listenFor)
+	for {
 		d, err := New(f, log)
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(start).Seconds() > listenFor {
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) && !lifecycle.Passing(err) {
 			return d, err
 		}
+		wait, more := retry.Next(time.Now())
+		if !more {
+			return nil, err
+		}
 		select {
-		case s := <-sig:
-			if s != syscall.SIGHUP {
-				return nil, nil
-			}
+		case <-sig.Stop:
+			return nil, nil
+		case <-sig.Reload:
 			if n, err := ReadFile(path); err != nil {
 				log.Error().Err(err).Msg("configuration not read; the old one stays in force")
 			} else {
 				f = n
 			}
-		case <-time.After(time.Duration(listenGap * float64(time.Second))):
+		case <-time.After(wait):
 		}
 	}
 }
 
-// stopGrace is how long what is in flight may go on once nothing new is taken: it must end before the platform's kill.
-func stopGrace(timeout float64) float64 {
-	return math.Min(timeout, stopLong) + stopKill - stopServe - stopSlack
+// readWhenWhole reads the configuration for a start; while it is half written, or can't be read for a moment, it tries
+// again. It returns nil where it is told to stop.
+func readWhenWhole(path string, sig *lifecycle.Signals) (*File, error) {
+	retry := lifecycle.NewRetry(time.Now(), readFor)
+	for {
+		f, err := ReadFile(path)
+		if err == nil || path == "" {
+			return f, err
+		}
+		wait, more := retry.Next(time.Now())
+		if !more {
+			return nil, err
+		}
+		select {
+		case <-sig.Stop:
+			return nil, nil
+		case <-time.After(wait):
+		}
+	}
 }
 
 // Run runs a dispatcher by the platform's environment until it is told to stop, and returns the exit code.
 func Run(out io.Writer) int {
-	sig := make(chan os.Signal, 8) // first of all: a signal that comes before ends the process
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	dump := make(chan os.Signal, 1)
-	signal.Notify(dump, syscall.SIGUSR1)
-	defer signal.Stop(dump)
-	defer signal.Stop(sig)
-	path := os.Getenv("LB_CONFIG")
-	f, err := ReadFile(path)
+	sig := lifecycle.NewSignals() // first of all: a signal that comes before ends the process
+	sig.Notify()
+	defer sig.Close()
+	path := os.Getenv(configName)
+	f, err := readWhenWhole(path, sig)
 	if err != nil {
-		fmt.Fprintln(out, "mastchute: LB_CONFIG:", err)
+		fmt.Fprintf(out, "mastchute: %s: %v\n", configName, err)
 		return app.ExitError
 	}
+	if f == nil {
+		return app.ExitOK
+	}
 	debug.SetMemoryLimit(int64(f.Limits.MemoryMB * (1 << 20) * heapShare))
 	debug.SetGCPercent(50)
 	runtime.GOMAXPROCS(1)
@@ -180,6 +206,12 @@
 	go func() { d.ended <- d.Loop.Run() }()
 	log.Info().Str("name", f.Name).Str("listen", f.Listen).Float64("memory_mb", f.Limits.MemoryMB).Int("sockets", f.Limits.Sockets).
 		Float64("cores", math.Round(f.Limits.Cores*100)/100).Msg("serving")
+	return d.serve(path, sig)
+}
+
+// serve heeds signals until the loop has ended, and returns the exit code.
+func (d *Dispatcher) serve(path string, sig *lifecycle.Signals) int {
+	r := reloader{d: d, path: path}
 	for {
 		select {
 		case err := <-d.ended:
@@ -187,19 +219,41 @@
 				return app.ExitCrash
 			}
 			return app.ExitOK
-		case <-dump:
+		case <-sig.Stop:
+			d.Loop.Post(d.Stop)
+		case <-sig.Dump:
 			d.Loop.Post(func() { d.Gateway.Dump("signal") })
-		case s := <-sig:
-			if s != syscall.SIGHUP {
-				d.Loop.Post(d.Stop)
-				continue
-			}
-			n, err := ReadFile(path)
-			if err != nil {
-				log.Error().Err(err).Msg("configuration not read; the old one stays in force")
-				continue
-			}
-			d.Loop.Post(func() { d.Reload(n) })
+		case <-sig.Reload:
+			r.retry = lifecycle.NewRetry(time.Now(), reloadFor)
+			r.read()
+		case <-r.again:
+			r.read()
 		}
 	}
 }
+
+// reloader reads the configuration anew, and again while it can't be read.
+type reloader struct {
+	d     *Dispatcher
+	path  string
+	retry lifecycle.Retry
+	again <-chan time.Time // nil while no try is due
+	said  string           // the failure logged last
+}
+
+func (r *reloader) read() {
+	r.again = nil
+	f, err := ReadFile(r.path)
+	if err == nil {
+		r.said = ""
+		r.d.Loop.Post(func() { r.d.Reload(f) })
+		return
+	}
+	if why := err.Error(); why != r.said {
+		r.said = why
+		r.d.log.Error().Err(err).Msg("configuration not read; the old one stays in force")
+	}
+	if wait, more := r.retry.Next(time.Now()); more {
+		r.again = time.After(wait)
+	}
+}
