Sockets that fail for a moment lose nothing; news in a batch moves its attempts

Cause of the first: a connection that the kernel refused to watch was taken as looked at, and a short read as proof that nothing was left (cameAfter, read). Such connections now keep the time since which they were not heard, and the rest of a message in part is read at once.

Cause of the second: a request placed, and the word that its worker drains, in one batch of events; Settle sent it all the same and the host barred it, at the price of an attempt and a retry token. control.replan places it anew. TestNewsInTheSameBatchMovesTheAttempt.

--- a/control/membership.go
+++ b/control/membership.go
@@ -31,5 +31,23 @@
 	d.forgetWorkers(forgetGoneAfter)
 	d.countWorkers()
 	d.heardNews = true
+	d.replan()
 	d.sweep()
 }
+
+// replan places anew what this batch placed at a worker that drains, is gone or has started anew by now.
+func (d *Dispatcher) replan() {
+	for _, r := range d.changedRequests {
+		if r.state != stateAttempt {
+			continue
+		}
+		a := &r.attempts[r.attempted-1]
+		if w := a.worker; w.State == Ready && a.sentAt > w.Start {
+			continue
+		}
+		d.unsend(r)
+		if r.state = statePending; r.pending == 0 { // else the hedge is left out
+			d.place(r)
+		}
+	}
+}
--- a/control/request.go
+++ b/control/request.go
@@ -179,11 +179,16 @@
 // finish notes that the final answer is given.
 func (d *Dispatcher) finish(r *request) {
 	r.unhold()
-	if r.state == stateAttempt { // never sent
-		r.attempted--
-		f := &r.attempts[r.attempted]
-		d.settleAttempt(r, f, r.model.replica(f.worker))
+	if r.state == stateAttempt {
+		d.unsend(r)
 	}
 	r.state = stateDone
 	d.markChanged(r)
 }
+
+// unsend takes an attempt back that this batch placed.
+func (d *Dispatcher) unsend(r *request) {
+	r.attempted--
+	f := &r.attempts[r.attempted]
+	d.settleAttempt(r, f, r.model.replica(f.worker))
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -155,8 +155,10 @@
 // Poll reads now what the kernel holds, before the turn in which it would be heard: what has come in by the time a
 // connection is closed was sent in time. The handler hears it as ever, and may close the connection.
 func (c *Conn) Poll() {
-	for range readsMore {
-		if c.fd < 0 || !c.up || c.paused || c.linger || !c.read() {
+	after := c.cameAfter()
+	for taken := 0; taken < readsMore*readSize && c.fd >= 0 && c.up && !c.paused && !c.linger; {
+		n, more := c.read(after)
+		if taken += n; !more {
 			return
 		}
 	}
@@ -212,8 +214,12 @@
 
 func (c *Conn) ready(events uint32) {
 	if !c.up {
-		if code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || code != 0 {
-			c.end(fmt.Errorf("connect %s: %w", c.peer, syscall.Errno(code)))
+		code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && code != 0 {
+			err = syscall.Errno(code)
+		}
+		if err != nil {
+			c.end(fmt.Errorf("connect %s: %w", c.peer, err))
 			return
 		}
 		if events&unix.EPOLLOUT == 0 {
@@ -240,28 +246,33 @@
 	leaves := events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0
 	if c.paused {
 		if leaves {
-			c.read()
+			c.read(c.cameAfter())
 		}
 		return
 	}
-	reads := 1
+	after := c.cameAfter()
+	most := 1 // bytes after which no further read is made
 	if leaves || c.l.catchingUp {
-		reads = readsMore
+		most = readsMore * readSize
 	}
-	for ; reads > 0 && c.fd >= 0 && !c.paused; reads-- {
-		if more := c.read(); !more && !leaves {
+	for taken := 0; taken < most && c.fd >= 0 && !c.paused; {
+		n, more := c.read(after)
+		if taken += n; !more {
 			return
 		}
+		if len(c.in) > 0 { // a message in part: the rest may be there, as a read may be short
+			most = max(most, readSize)
+		}
 	}
 }
 
-// read reads once, and tells whether there may be more.
-func (c *Conn) read() (more bool) {
+// read reads once what had not come in at a time, and tells how much, and whether there may be more.
+func (c *Conn) read(after float64) (n int, more bool) {
 	n, err := c.l.kernel.Read(c.fd, c.l.scratch)
 	switch {
 	case err == unix.EAGAIN:
 	case err == unix.EINTR:
-		return true
+		return 0, true
 	case err == unix.ENOMEM || err == unix.ENOBUFS:
 		c.rest()
 	case err != nil:
@@ -275,16 +286,16 @@
 			c.end(io.EOF)
 		}
 	default:
-		after := c.cameAfter()
 		c.heardAt = c.l.arrival(after)
-		if more = n == len(c.l.scratch); more {
+		if n == len(c.l.scratch) {
 			c.fallBehind(after)
 		} else {
 			c.behind = false
 		}
 		c.feed(c.l.scratch[:n])
+		return n, true
 	}
-	return more
+	return 0, false
 }
 
 // feed gives the handler what is there, and keeps what it leaves.
@@ -376,9 +387,9 @@
 }
 
 // cameAfter is a time at which what is read now had not come in. A connection that fell behind and that a later look did
-// not tell of had nothing then.
+// not tell of had nothing then, unless the kernel does not watch it.
 func (c *Conn) cameAfter() float64 {
-	if c.behind && c.l.looks <= c.lookedIn+1 {
+	if c.behind && c.l.looks <= c.lookedIn+1 || c.resting || c.fd >= 0 && c.l.fds[c.fd].refused {
 		return c.since
 	}
 	return c.l.heardTo
--- a/internal/loop/poll.go
+++ b/internal/loop/poll.go
@@ -65,6 +65,9 @@
 	}
 	l.Stats.LocalFailures.Add(1)
 	if !e.refused {
+		if e.c != nil {
+			e.c.since = e.c.cameAfter()
+		}
 		e.refused = true
 		l.unarmed = append(l.unarmed, unarmed{fd, e.gen})
 	}
@@ -81,7 +84,7 @@
 		if e := &l.fds[u.fd]; e.gen == u.gen {
 			e.refused = false
 			if e.c != nil {
-				e.c.fallBehind(e.c.cameAfter())
+				e.c.fallBehind(e.c.since)
 			}
 			l.arm(u.fd)
 		}
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -34,6 +34,7 @@
 type seen struct {
 	verb, id, fields, body string
 	conn                   net.Conn
+	at                     time.Time // its first line was read
 }
 
 // act is what a worker does with a message.
@@ -107,7 +108,7 @@
 			return
 		}
 		w := strings.Fields(line)
-		m := seen{verb: w[0], id: w[1], conn: c}
+		m := seen{verb: w[0], id: w[1], conn: c, at: time.Now()}
 		if len(w) > 2 {
 			m.fields = w[2]
 		}
--- /dev/null
+++ b/internal/platform/sockets_test.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mastchute/internal/sys/faults"
+)
+
+// System calls that fail for a moment as Linux documents lose no request, pass no deadline on that is too long, and say
+// nothing of a worker's health; also where reads and writes come in scraps meanwhile.
+func TestPassingFailuresOfSockets(t *testing.T) {
+	const span = 300 * time.Millisecond
+	for _, c := range []struct {
+		call  faults.Call
+		errno syscall.Errno
+		scrap int // bytes that a read or write takes at most
+	}{{faults.EpollControl, unix.ENOMEM, 0}, {faults.EpollControl, unix.ENOSPC, 0}, {faults.Read, unix.ENOMEM, 0}, {faults.Read, unix.ENOBUFS, 9},
+		{faults.Read, unix.EINTR, 9}, {faults.Write, unix.ENOBUFS, 0}, {faults.Write, unix.ENOMEM, 9}, {faults.Write, unix.EINTR, 9},
+		{faults.Write, unix.EAGAIN, 9}, {faults.Socket, unix.ENFILE, 0}, {faults.Socket, unix.EMFILE, 0}, {faults.Connect, unix.EADDRNOTAVAIL, 0},
+		{faults.Connect, unix.ENETUNREACH, 0}, {faults.Connect, unix.ENOBUFS, 0}, {faults.Connect, unix.EINTR, 0}, {faults.EpollWait, unix.EINTR, 0}} {
+		t.Run(string(c.call)+" "+unix.ErrnoName(c.errno), func(t *testing.T) {
+			k := newFailing(t)
+			w := newWorker(t, "w1", fine)
+			r := newRig(t, "load", w)
+			r.on(func() { r.d.front.workers.connect = 1 }) // longer than the failure
+			if c.scrap > 0 {
+				k.Short = func(faults.Call, int, int) int { return c.scrap }
+			}
+			k.every = 1
+			if c.call == faults.EpollWait || c.errno == unix.EINTR && c.call != faults.Connect {
+				k.every = 2 // one that is interrupted each time is no failure that Linux has
+			}
+			began := time.Now()
+			k.fail(c.call, c.errno, span)
+			r.all(t, 10, "returned")
+			if k.hits.Load() == 0 {
+				t.Error("the call never failed")
+			}
+			if n := r.ends("connect_failed") + r.ends("reset"); n > 0 {
+				t.Errorf("%g attempts count against the worker", n)
+			}
+			for _, m := range w.seen("invoke") {
+				if b, left := budget(t, m), patienceMS*time.Millisecond-m.at.Sub(began); b > left+200*time.Millisecond {
+					t.Errorf("a deadline of %v, and %v are left", b, left)
+				}
+			}
+		})
+	}
+}
+
+// ends counts the attempts that ended in a way, as the metrics tell.
+func (r *rig) ends(result string) (sum float64) {
+	r.t.Helper()
+	list, err := r.d.Gateway.Metrics.Registry.Gather()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for _, f := range list {
+		for _, m := range f.Metric {
+			for _, l := range m.Label {
+				if f.GetName() == "mastchute_forward_ends_total" && l.GetValue() == result {
+					sum += m.Counter.GetValue()
+				}
+			}
+		}
+	}
+	return sum
+}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -65,7 +65,7 @@
 func (j *judge) request(r *Request) {
 	p := j.s.processes[r.Dispatcher]
 	due := r.Sent + r.Patience + lateAnswer
-	due += p.stoppedWithin(r.Sent, due) + harnessSlack + j.s.lateness(r.Sent, due)
+	due += p.stoppedWithin(r.Sent, due) + j.s.mute(r.Dispatcher, r.Sent, due) + harnessSlack + j.s.lateness(r.Sent, due)
 	switch r.Ending {
 	case Gone, Refused, Crossed:
 		return
@@ -139,6 +139,17 @@
 	}
 }
 
+// mute is how long a dispatcher's reads and writes fail for want of memory, or come in scraps, from one time to another: it
+// can neither hear nor answer meanwhile.
+func (s *stage) mute(dispatcher int, from, to float64) (sum float64) {
+	for _, t := range s.plan.Troubles {
+		if t.Target == dispatcher && (t.Kind == WriteFails || t.Kind == ReadFails) && t.To > from && t.From < to {
+			sum += t.To - t.From
+		}
+	}
+	return sum
+}
+
 func (p *process) stoppedWithin(from, to float64) (sum float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -108,14 +108,23 @@
 	s    *stage
 	deaf func() bool
 	last float64
+	held float64 // what is read now may have come in since then; 0 where it was read as it came
 }
 
 func (c *stamped) Read(b []byte) (int, error) {
 	for c.deaf() {
+		if c.held == 0 {
+			c.held = c.s.hist.Now()
+		}
 		time.Sleep(5 * time.Millisecond)
 	}
 	n, err := c.Conn.Read(b)
-	c.last = c.s.hist.Now()
+	if c.last = c.s.hist.Now(); c.held > 0 {
+		c.last = c.held
+		if n < len(b) { // all that had come in is read
+			c.held = 0
+		}
+	}
 	return n, err
 }
 
