--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -188,9 +188,12 @@
 		}
 		r, err := readReply(frame)
 		k.mu.Lock()
-		q := k.open[r.seq]
+		q, dead := k.open[r.seq], k.dead
 		delete(k.open, r.seq)
 		k.mu.Unlock()
+		if dead { // closed by the client a moment ago
+			continue
+		}
 		k.s.hist.update(func() {
 			switch {
 			case err != nil:
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -59,6 +59,7 @@
 	Key      string
 	First    float64 // its first byte was read
 	Whole    float64 // its last byte was read; 0 if it never came whole
+	Latest   float64 // the same, where the worker was deaf: it may have come in at any time from Whole on
 	Budget   float64 // s
 	Answer   string  // what the worker answered; empty for nothing
 	Answered float64
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -201,7 +201,7 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return false
 	}
-	h.update(func() { a.Whole, a.Body = in.last, string(body[:n]) })
+	h.update(func() { a.Whole, a.Latest, a.Body = in.last, h.Now(), string(body[:n]) })
 	go w.answer(c, out, a, f["path"])
 	return true
 }
