--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,8 @@
 		g.mostModels = mostModels
 	}
 	g.models.init()
-	g.epoch = float64(l.Origin().UnixNano()) / 1e9
-	g.name = cfg.Name + "-" + strconv.FormatInt(l.Origin().UnixMilli(), 36) + "-"
+	g.epoch, _ = l.WallClock()
+	g.name = cfg.Name + "-" + strconv.FormatInt(int64(g.epoch*1e3), 36) + "-"
 	g.tellFn = g.tell
 	g.stopTimer.Fire = g.stopLook
 	g.forgetTimer.Fire = g.forget
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -82,6 +82,7 @@
 	kernel    sys.Kernel
 	ep, wake  int
 	start     time.Time
+	wallStart float64 // s since 1970 by the wall clock at second 0
 	now       float64
 	timers    timers
 	fds       []entry
@@ -129,7 +130,7 @@
 		unix.Close(ep)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{kernel: kernel, ep: ep, wake: wake, start: time.Now(), scratch: make([]byte, readSize), reserve: -1, maxConns: maxConns}
+	l := &Loop{kernel: kernel, ep: ep, wake: wake, start: time.Now(), wallStart: wallSeconds(kernel), scratch: make([]byte, readSize), reserve: -1, maxConns: maxConns}
 	if err := kernel.EpollControl(ep, unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN, -1); err != nil {
 		unix.Close(ep)
 		unix.Close(wake)
@@ -146,8 +147,13 @@
 // Clock reads the clock afresh: seconds since New. Safe from any goroutine.
 func (l *Loop) Clock() float64 { return time.Since(l.start).Seconds() }
 
-// Origin is the wall-clock time of the loop's second 0.
-func (l *Loop) Origin() time.Time { return l.start }
+// WallClock relates the wall clock, in seconds since 1970, to the loop's: what it told at the loop's second 0, and what
+// it would have told then by how it goes now. They differ where it was stepped since.
+func (l *Loop) WallClock() (atStart, now float64) {
+	return l.wallStart, wallSeconds(l.kernel) - l.Clock()
+}
+
+func wallSeconds(k sys.Kernel) float64 { return float64(k.WallClock().UnixNano()) / 1e9 }
 
 // Start sets the timer to fire after the given seconds; a pending one is moved.
 func (l *Loop) Start(t *Timer, after float64) { l.timers.start(t, l.now+math.Max(0, after)) }
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -96,7 +96,7 @@
 
 func newFeed(g *gateway.Gateway, told func(string)) *feed {
 	f := &feed{g: g, l: g.Loop, told: told}
-	f.epoch = float64(f.l.Origin().UnixNano()) / 1e9
+	f.epoch, _ = f.l.WallClock()
 	f.call.Caller = f
 	f.timer.Fire = f.fire
 	return f
--- /dev/null
+++ b/internal/platform/clock_test.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mastchute/internal/sys"
+	"mastchute/internal/sys/faults"
+)
+
+// stepped is a wall clock that a test steps.
+func stepped(t *testing.T) *atomic.Int64 {
+	var by atomic.Int64
+	sys.Default = &faults.Kernel{Kernel: sys.Linux{}, Offset: func() time.Duration { return time.Duration(by.Load()) }}
+	t.Cleanup(func() { sys.Default = sys.Linux{} })
+	return &by
+}
+
+// A start told in service is one of a moment ago, whatever the wall clocks did: ours, the one that the change log tells by, or
+// both, by seconds or an hour; of a worker that is new, of one that had a start, and of one that was told to be up for long.
+func TestStartsUnderSteppedClocks(t *testing.T) {
+	for _, was := range []string{"new", "started", "long up"} {
+		for _, ours := range []time.Duration{0, time.Hour, -time.Hour, 4 * time.Second, -4 * time.Second} {
+			for _, theirs := range []time.Duration{0, time.Hour, -time.Hour, 4 * time.Second} {
+				t.Run(fmt.Sprintf("%s, ours %v, theirs %v", was, ours, theirs), func(t *testing.T) {
+					by := stepped(t)
+					w := newWorker(t, "w1", fine)
+					r := newRig(t, "load")
+					told := 1
+					tell := func(up int64) {
+						r.log.add(false, w.member("active", up))
+						told++
+						r.until("it is heard", func() bool { return r.d.feed.last == int64(told) })
+					}
+					switch was {
+					case "started":
+						tell(time.Now().Add(-time.Minute).UnixMilli())
+					case "long up":
+						tell(0)
+					}
+					by.Store(int64(ours))
+					tell(time.Now().Add(theirs).UnixMilli())
+					r.on(func() {
+						if age := r.d.Loop.Now() - r.d.Gateway.Members.Named("w1").Line().Start; age < 0 || age > 3.5 {
+							t.Errorf("a start of now is %g s old", age)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// The same start told again is no other, also after a step of the wall clock, and one heard of before is no news.
+func TestSameStartUnderSteppedClocks(t *testing.T) {
+	by := stepped(t)
+	w := newWorker(t, "w1", fine)
+	r := newRig(t, "load")
+	first := time.Now().UnixMilli()
+	second := first + 40
+	r.log.add(false, w.member("active", first))
+	r.log.add(false, w.member("active", second))
+	r.until("both are heard", func() bool { return r.d.feed.last == 3 })
+	var start float64
+	r.on(func() { start = r.d.Gateway.Members.Named("w1").Line().Start })
+	by.Store(int64(time.Hour))
+	r.log.add(false, w.member("leaving", second))
+	r.log.add(false, w.member("active", second))
+	r.log.add(false, w.member("active", first))
+	r.until("all are heard", func() bool { return r.d.feed.last == 6 })
+	r.on(func() {
+		if s := r.d.Gateway.Members.Named("w1").Line().Start; s != start {
+			t.Errorf("the start moved from %g to %g", start, s)
+		}
+	})
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -76,7 +76,8 @@
 // NewServer listens for every worker at the given addresses (port 0 takes a free one) and for faults at ctl, which
 // may be invalid for none. records gets one JSON line for each event; it may be nil.
 func NewServer(l *loop.Loop, spec Spec, at []netip.AddrPort, ctl netip.AddrPort, records io.Writer, cold bool) (*Server, error) {
-	s := &Server{Loop: l, fleet: NewFleet(spec, cold), records: records, epoch: float64(l.Origin().UnixNano()) / 1e9}
+	s := &Server{Loop: l, fleet: NewFleet(spec, cold), records: records}
+	s.epoch, _ = l.WallClock()
 	if records != nil {
 		s.encoder = json.NewEncoder(records)
 	}
