Starts of workers hold whatever the wall clocks do

Ruled out: the loop's clock, which is monotonic. Cause: entry() set each start against the wall clock of the process's start, and settle() and Started() took a smaller number for an older start.

membership.WallClock reads a start by the clock as it was and as it goes now, and takes the later one that is not in the future; a start that differs from those heard of is another one, and one from before the last was heard, or before the change log would have told it (2 s), counts as of now. Remembered numbers keep late answers from being news.

--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -10,12 +10,19 @@
 	if epoch <= 0 || epoch == w.Worker.Epoch || w.Told {
 		return
 	}
-	if start := epoch - g.epoch; g.Members.Started(w.Worker, epoch, start, g.Loop.Now()) && w.told {
-		g.log.Info().Str("worker", w.Name).Float64("age_s", g.Loop.Now()-start).Msg("worker has a start not heard of: empty and cold")
+	now := g.Loop.Now()
+	if g.Members.Started(w.Worker, epoch, g.WallClock().StartAt(epoch, now), now) && w.told {
+		g.log.Info().Str("worker", w.Name).Float64("age_s", now-w.Worker.Start).Msg("worker has a start not heard of: empty and cold")
 		g.tellWorkers([]*Worker{w})
 	}
 }
 
+// WallClock relates the wall clock to the loop's.
+func (g *Gateway) WallClock() membership.WallClock {
+	atStart, now := g.Loop.WallClock()
+	return membership.WallClock{AtStart: atStart, Now: now}
+}
+
 // Replace sets what a source of the list of workers names, and tells the decisions what changed.
 func (g *Gateway) Replace(s membership.Source, list []membership.Entry) error {
 	changed, err := g.Members.Replace(s, list, g.Loop.Now())
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -35,9 +35,11 @@
 	Kind   string
 	Weight float64
 	State  control.WorkerState
-	Told   bool    // the source tells starts: Epoch and Start hold, and the worker is not asked
+	Told   bool    // the source tells starts: Epoch, Start and NotBefore hold, and the worker is not asked
 	Epoch  float64 // of its latest start, seconds since 1970; 0 for long ago
 	Start  float64 // the same on the dispatcher's clock, -Inf for long ago
+	// NotBefore is a time on the dispatcher's clock before which the source would have told this start already.
+	NotBefore float64
 }
 
 // Worker is a worker as all sources together have it.
@@ -52,6 +54,7 @@
 	Listed  bool    // some source names it still
 
 	Greeting
+	starts  starts
 	held    bool // ready again by the list, but not greeted since
 	said    [sources]Entry
 	named   [sources]bool
@@ -191,10 +194,9 @@
 // Started notes the start that a worker tells of itself (seconds since 1970, and the same on the dispatcher's clock).
 // It returns true where that is news: an empty, cold worker under the old name.
 func (r *List) Started(w *Worker, epoch, start, now float64) bool {
-	if epoch <= w.Epoch {
+	if !w.hear(epoch, start, math.Inf(-1), now) {
 		return false // an answer that was under way, or nothing new
 	}
-	w.Epoch, w.Start = epoch, start
 	r.Version++
 	w.Version, w.Heard = r.Version, now
 	w.current = r.info(w)
@@ -228,8 +230,8 @@
 			state, w.From = w.ruling, Admin
 		}
 		w.State = state
-		if w.Told && w.Entry.Epoch > w.Epoch { // the latest start heard of holds: an event told late must not make it warm
-			w.Epoch, w.Start = w.Entry.Epoch, w.Entry.Start
+		if w.Told { // the latest start heard of holds: an event told late must not make it warm
+			w.hear(w.Entry.Epoch, w.Entry.Start, w.Entry.NotBefore, now)
 		}
 		w.held = !w.Told && state == control.Ready && (w.held || known && was.State != control.Ready)
 		if w.current = r.info(w); w.current != was || w.Listed != listed || addr != w.Addr {
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -25,6 +25,7 @@
 	pollFirst = 0.05    // s of backoff after one that failed, less jitter; doubles
 	pollMost  = 1.0     // s, the most of it
 	pollBody  = 4 << 20 // bytes of an answer that are read
+	listLag   = 2.0     // s that a worker may be up before the change log has it
 )
 
 // Changes are events of the change log.
@@ -56,17 +57,17 @@
 
 var states = map[string]control.WorkerState{"active": control.Ready, "leaving": control.Draining, "left": control.Gone}
 
-// entry turns a member into an entry of the list of workers; epoch is the Unix time of the loop's second 0.
-func (m *Member) entry(epoch float64) (membership.Entry, error) {
+// entry turns a member into an entry of the list of workers. The change log would have told a start before notBefore already.
+func (m *Member) entry(wall membership.WallClock, now, notBefore float64) (membership.Entry, error) {
 	state, ok := states[m.State]
 	if !ok || m.ID == "" {
 		return membership.Entry{}, errors.New("a worker without an id, or in a state that is not known")
 	}
 	e := membership.Entry{Name: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: strconv.FormatInt(m.Cell, 10), Weight: m.Weight, State: state,
-		Told: true, Start: math.Inf(-1)}
+		Told: true, Start: math.Inf(-1), NotBefore: notBefore}
 	if m.Start > 0 {
 		e.Epoch = m.Start / 1e3
-		e.Start = e.Epoch - epoch
+		e.Start = wall.StartAt(e.Epoch, now)
 	}
 	var err error
 	if e.Addr, err = netip.ParseAddrPort(m.Address); err != nil && state != control.Gone {
@@ -88,7 +89,7 @@
 	lost  int64 // the event that was missing when it was asked for last
 	gap   float64
 	asked float64
-	epoch float64
+	good  float64    // when the latest question was asked that had a good answer; -Inf for none
 	timer loop.Timer // the next poll, or the end of this one's time
 	out   bool
 	told  func(why string) // counts what went wrong
@@ -96,7 +97,7 @@
 
 func newFeed(g *gateway.Gateway, told func(string)) *feed {
 	f := &feed{g: g, l: g.Loop, told: told}
-	f.epoch, _ = f.l.WallClock()
+	f.good = f.l.Now() // the configuration holds what was known at the start
 	f.call.Caller = f
 	f.timer.Fire = f.fire
 	return f
@@ -187,6 +188,9 @@
 	if err == nil {
 		err = f.take(&c)
 	}
+	if err == nil {
+		f.good = f.asked
+	}
 	if err != nil {
 		f.told("change_log_failed")
 		f.g.Note("change_log_failed", closeReason(err), nil, nil, float64(f.last))
@@ -250,12 +254,13 @@
 func (f *feed) apply(e *Change) {
 	var list []membership.Entry
 	at := map[string]int{}
+	wall := f.g.WallClock()
 	for _, raw := range e.Fleet.Members {
 		var m Member
 		err := json.Unmarshal(raw, &m)
 		var entry membership.Entry
 		if err == nil {
-			entry, err = m.entry(f.epoch)
+			entry, err = m.entry(wall, f.l.Now(), f.good-listLag)
 		}
 		if err != nil {
 			f.skipped("change_log_entry", err)
