Tests, red: half a message beside open requests; HTTP's deadlines and stops

Read in the code from the list of promises, then seen: a message that stands still for 1 s ends its connection with the answers owed on it; over HTTP a connection that comes up 0.5 s late carries the deadline of before; a stop resets the backlog and closes idle connections over unread requests.

--- /dev/null
+++ b/internal/gateway/faults_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mastchute/internal/sys"
+	"mastchute/internal/sys/faults"
+)
+
+// An attempt that waits for its connection is sent with the time that its client has left by then.
+func TestDeadlineOfALateConnection(t *testing.T) {
+	var until atomic.Int64
+	sys.Default = &faults.Kernel{Kernel: sys.Linux{}, Fail: func(c faults.Call, _ int) error {
+		if c == faults.Connect && time.Now().UnixNano() < until.Load() {
+			return unix.EADDRNOTAVAIL
+		}
+		return nil
+	}}
+	t.Cleanup(func() { sys.Default = sys.Linux{} })
+	w := newWorker(t, "w1", fine)
+	r := newRig(t, "limits: {connect_timeout: 2s}\n", nil, w)
+	r.on(func() { r.g.CloseIdle(r.g.Members.All()[0].ID) })
+	sent := time.Now()
+	until.Store(sent.Add(500 * time.Millisecond).UnixNano())
+	if a := r.ask("read-1", "Mastchute-Timeout: 2\r\n", "in"); a.answer != "returned" {
+		t.Errorf("%+v", a)
+	}
+	for _, s := range w.seen() {
+		told, err := strconv.ParseFloat(s.header.Get("Mastchute-Timeout"), 64)
+		if err != nil {
+			continue // a question for its start
+		}
+		left := 2 - s.at.Sub(sent).Seconds()
+		if told > left+0.15 {
+			t.Errorf("a deadline of %g s, and %g s are left", told, left)
+		}
+	}
+}
+
+// Requests that cross a stop are answered: those unread in the kernel, and those of
+// connections that wait to be accepted.
+func TestStopReadsFirst(t *testing.T) {
+	r := newRig(t, "", nil, newWorker(t, "w1", fine))
+	rested := r.dial()
+	br := bufio.NewReader(rested)
+	text := "POST /v2/models/read-1/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\nin"
+	if a := exchange(rested, br, text); a.answer != "returned" {
+		t.Fatalf("%+v", a)
+	}
+	fresh := []net.Conn{}
+	r.on(func() { // the loop looks at nothing meanwhile
+		io.WriteString(rested, text)
+		for range 5 {
+			n := r.dial()
+			io.WriteString(n, text)
+			fresh = append(fresh, n)
+		}
+		time.Sleep(20 * time.Millisecond)
+		r.g.Stop(2)
+	})
+	for i, conn := range append(fresh, rested) {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Errorf("connection %d: %v", i, err)
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 && resp.StatusCode != 503 {
+			t.Errorf("connection %d: %d", i, resp.StatusCode)
+		}
+	}
+}
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -405,3 +406,22 @@
 		}
 	}
 }
+
+// A message that stands still half sent does not cost the answers owed on its connection; it is cut off when they are given.
+func TestStalledMessageSparesOpenRequests(t *testing.T) {
+	w := newWorker(t, "w1", func(c net.Conn, m seen) { time.Sleep(1400 * time.Millisecond); fine(c, m) })
+	r := newRig(t, "load", w)
+	c := r.dial()
+	c.send("once", "in")
+	c.Write(request(2, "read", "never whole")[:50])
+	if a, ok := c.answer(); !ok || kind(a) != "returned" {
+		t.Errorf("the open request: %+v %v", a, ok)
+	}
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	if a, ok := c.answer(); ok {
+		t.Errorf("an answer to half a message: %+v", a)
+	}
+	if n := r.refused("message_stalled"); n != 1 {
+		t.Errorf("%d stalled messages", n)
+	}
+}
