Half a message spares answers owed; HTTP's deadlines are of when they leave; stops read first

A client's connection on which a message stands still is closed once nothing is owed on it (permit.Close). Requests over HTTP were named by the start's wall-clock millisecond: under a clock that tells a time twice, TestStartsNameTheirRequests saw three starts with one name, which is the mark by which workers drop repeats; they are named by chance.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,27 @@
 		}
 	}
 }
+
+// Two starts under one wall clock, as a stepped one can tell the same time twice, give their requests different names:
+// they are the marks by which workers drop repeats.
+func TestStartsNameTheirRequests(t *testing.T) {
+	at := time.Now()
+	sys.Default = frozen{sys.Linux{}, at}
+	t.Cleanup(func() { sys.Default = sys.Linux{} })
+	names := map[string]bool{}
+	for range 3 {
+		r := newRig(t, "", nil, newWorker(t, "w1", fine))
+		r.on(func() { names[r.g.name] = true })
+	}
+	if len(names) != 3 {
+		t.Errorf("%d names for 3 starts: %v", len(names), fmt.Sprint(names))
+	}
+}
+
+// frozen is a kernel whose wall clock stands.
+type frozen struct {
+	sys.Kernel
+	at time.Time
+}
+
+func (k frozen) WallClock() time.Time { return k.at }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 	}
 	g.models.init()
 	g.epoch, _ = l.WallClock()
-	g.name = cfg.Name + "-" + strconv.FormatInt(int64(g.epoch*1e3), 36) + "-"
+	g.name = cfg.Name + "-" + strconv.FormatUint(rand.Uint64(), 36) + "-" // by chance: a wall clock can tell a time twice
 	g.tellFn = g.tell
 	g.stopTimer.Fire = g.stopLook
 	g.forgetTimer.Fire = g.forget
--- a/internal/gateway/http_link.go
+++ b/internal/gateway/http_link.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"math"
 	"strconv"
 
 	"mastchute/control"
 	"mastchute/internal/h1"
 	"mastchute/internal/http1"
+	"mastchute/internal/permit"
 )
 
 // httpLink is the way to one worker over HTTP/1.1.
@@ -61,6 +61,17 @@
 	l.Do(&c.call, c.head, x.Body)
 }
 
+// Renew implements h1.Renewer.
+func (c *httpCall) Renew() ([]byte, bool) {
+	f := c.f
+	now := f.g.Loop.Clock()
+	if f.Permit(now, now) != permit.Allowed {
+		return nil, false
+	}
+	c.head = f.g.requestHead(c.head[:0], f.Request.Client.(*httpClient).x, f)
+	return c.head, true
+}
+
 // Cancel implements Link.
 func (l *httpLink) Cancel(f *Attempt) {
 	if c, _ := f.Call.(*httpCall); c != nil {
@@ -156,7 +167,7 @@
 	b = append(b, "\r\nMastchute-Group: "...)
 	b = append(b, q.group.Name...)
 	b = append(b, "\r\nMastchute-Timeout: "...)
-	b = appendSeconds(b, math.Max(0.001, q.notAfter-g.Loop.Now()))
+	b = appendSeconds(b, float64(permit.Budget(g.Loop.Clock(), q.notAfter))/1e3)
 	b = append(b, "\r\n"...)
 	b = http1.AppendLength(b, int64(len(x.Body)))
 	return append(b, "\r\n"...)
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -34,6 +34,12 @@
 	End(err error)
 }
 
+// Renewer is a Caller whose request says how much time is left: one that waited is written anew before it leaves.
+type Renewer interface {
+	// Renew returns the head as it is to be now, or false where the request must not be sent any more.
+	Renew() (head []byte, ok bool)
+}
+
 // Call is one request to a peer. It is meant to be a field of the record it serves.
 type Call struct {
 	Caller Caller
@@ -45,8 +51,10 @@
 	pool   *Pool
 	conn   *clientConn
 	head   []byte
-	body   []byte
-	from   uint64 // bytes of the connection before this request
+	body   []byte  // what is left of it to be written
+	whole  []byte  // all of it
+	built  float64 // when the head was written
+	from   uint64  // bytes of the connection before this request
 	queued bool
 	wrote  bool
 	given  bool // Abandon will end it
@@ -90,6 +98,7 @@
 // Do sends a request: head whole with its empty line, and body. Both are to stay as they are until the call has ended.
 func (p *Pool) Do(c *Call, head, body []byte) {
 	c.pool, c.conn, c.head, c.body, c.from, c.Peek, c.queued, c.given, c.wrote = p, nil, head, body, 0, 0, false, false, false
+	c.whole, c.built = body, p.Loop.Clock()
 	if n := len(p.idle); n > 0 {
 		conn := p.idle[n-1]
 		p.idle = p.idle[:n-1]
--- a/internal/h1/client_conn.go
+++ b/internal/h1/client_conn.go
@@ -5,6 +5,7 @@
 
 	"mastchute/internal/http1"
 	"mastchute/internal/loop"
+	"mastchute/internal/permit"
 )
 
 // clientConn is one connection to the peer; it carries one call at a time.
@@ -38,7 +39,7 @@
 
 // carry sends a call, unless it waited for too long.
 func (c *clientConn) carry(call *Call) {
-	if call.NotAfter > 0 && c.pool.Loop.Now() > call.NotAfter {
+	if !c.renew(call) {
 		c.call, call.conn = nil, nil
 		c.pool.abandon(call)
 		c.pool.next(c)
@@ -47,6 +48,33 @@
 	c.send(call)
 }
 
+// renew has a call that waited written anew, and tells whether it may be sent.
+func (c *clientConn) renew(call *Call) bool {
+	now := c.pool.Loop.Clock()
+	if call.NotAfter > 0 && now > call.NotAfter {
+		return false
+	}
+	r, ok := call.Caller.(Renewer)
+	if !ok || now-call.built <= permit.DeadlineAge {
+		return true
+	}
+	head, ok := r.Renew()
+	call.head, call.built = head, now
+	return ok
+}
+
+// BeforeWrite implements loop.Writer: a request that waited, with none of it gone, is looked at once more.
+func (c *clientConn) BeforeWrite(conn *loop.Conn) {
+	call := c.call
+	if call == nil || call.Peek == 0 || conn.Sent() > call.from || c.pool.Loop.Clock()-call.built <= permit.DeadlineAge {
+		return
+	}
+	if conn.Retract(call.from, conn.Queued()) {
+		call.body = call.whole
+		c.carry(call)
+	}
+}
+
 func (c *clientConn) send(call *Call) {
 	c.call, call.conn, c.headed, c.used = call, c, false, true
 	call.from, call.Peek = c.conn.Queued(), c.pool.Loop.Now()
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -3,6 +3,8 @@
 package h1
 
 import (
+	"math"
+
 	"net/netip"
 
 	"mastchute/internal/http1"
@@ -60,6 +62,11 @@
 	draining bool
 }
 
+const (
+	drainQuiet = 0.06 // s without a byte before an idle connection is closed while draining
+	drainHead  = 1.0  // s that a connection accepted while draining may take for its head
+)
+
 // NewServer listens at an address and serves there.
 func NewServer(l *loop.Loop, at netip.AddrPort, s Service, opt ServerOptions) (*Server, error) {
 	if opt.Limits == (http1.Limits{}) {
@@ -89,16 +96,21 @@
 func (v *Server) Addr() netip.AddrPort { return v.listener.Addr() }
 
 // Conns is how many connections are open.
-func (v *Server) Conns() int { return len(v.conns) }
+func (v *Server) Conns() int {
+	if v.listener.Draining() {
+		return len(v.conns) + 1 // some may wait to be accepted
+	}
+	return len(v.conns)
+}
 
-// Drain stops accepting, closes idle connections, and closes the others after the answer in flight.
+// Drain accepts what waits in the backlog and then no more, closes idle connections once nothing has come for a moment,
+// and closes the others after the answer in flight.
 func (v *Server) Drain() {
 	v.draining = true
-	v.listener.Close()
+	v.listener.Drain()
 	for c := range v.conns {
-		if c.x == nil {
-			c.conn.CloseFlushed()
-			c.over()
+		if c.x == nil && !c.begun {
+			v.Loop.Start(&c.timer, drainQuiet)
 		}
 	}
 }
@@ -119,7 +131,11 @@
 	c := &serverConn{v: v, conn: conn, parser: http1.Parser{Limits: v.opt.Limits}}
 	c.timer.Fire = c.expired
 	v.conns[c] = struct{}{}
-	v.Loop.Start(&c.timer, v.opt.HeadTimeout)
+	span := v.opt.HeadTimeout
+	if v.draining {
+		span = math.Min(span, drainHead)
+	}
+	v.Loop.Start(&c.timer, span)
 	return c
 }
 
@@ -165,6 +181,9 @@
 func (c *serverConn) expired() {
 	switch x := c.x; {
 	case x == nil && !c.begun:
+		if c.conn.Poll(); c.x != nil || c.begun || !c.conn.Open() { // what lies unread came in time
+			return
+		}
 		c.conn.CloseFlushed()
 		c.over()
 	case x == nil:
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -69,7 +69,12 @@
 	if len(p.free) < keptCalls && cap(k.body) <= keptBody {
 		p.free = append(p.free, k)
 	}
-	if c.calls == 0 && !c.closing && !c.part {
+	switch {
+	case c.calls > 0 || c.closing:
+	case c.stalled:
+		p.refuse("message_stalled")
+		c.end("message_stalled")
+	case !c.part:
 		c.wait(false)
 	}
 	p.drained()
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -4,6 +4,7 @@
 	"mastchute/control"
 	"mastchute/internal/gateway"
 	"mastchute/internal/loop"
+	"mastchute/internal/permit"
 	"mastchute/internal/thrift"
 )
 
@@ -18,6 +19,7 @@
 	reads      uint32
 	used       bool // a whole message has come in
 	part       bool // part of a message has
+	stalled    bool // and it stands still for too long
 	closing    bool
 	prev, next *clientConn
 }
@@ -102,6 +104,9 @@
 	}
 	why := "idle"
 	switch {
+	case c.part && permit.Close(c.calls) != permit.Allowed:
+		c.stalled = true // until its answers are given
+		return
 	case c.part:
 		why = "message_stalled"
 		c.p.refuse(why)
@@ -154,7 +159,7 @@
 			c.endSoon("unreadable")
 			return len(b)
 		}
-		c.used, c.part = true, false
+		c.used, c.part, c.stalled = true, false, false
 		c.heard(&m)
 	}
 	if !c.closing {
