Test, red: attempts on an old list after a standstill past the grace

A process that stood still for 1.7 s with a grace of 0.2 s sends 10 of 10 attempts to a worker that drains since 0.5 s: the poll at hand had its empty answer before, and the next one goes out beside the attempts. The way to ask first is there, not yet in use.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -77,7 +77,9 @@
 	OnTurn func() // called after the events of a turn and before its writes; may be nil
 	// OnShortage is asked to free a descriptor of this process, and tells whether it did; may be nil.
 	OnShortage func() bool
-	Stats      Stats
+	// OnStandstill hears, after all that came in was heard, that the process stood still for about so many seconds; may be nil.
+	OnStandstill func(span float64)
+	Stats        Stats
 
 	kernel    sys.Kernel
 	ep, wake  int
--- a/internal/loop/poll.go
+++ b/internal/loop/poll.go
@@ -120,6 +120,9 @@
 		}
 		l.hear(l.events[:n])
 	}
+	if l.catchingUp && l.OnStandstill != nil {
+		l.OnStandstill(l.now - l.heardTo)
+	}
 	return nil
 }
 
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -25,6 +25,7 @@
 	pollFirst = 0.05    // s of backoff after one that failed, less jitter; doubles
 	pollMost  = 1.0     // s, the most of it
 	pollBody  = 4 << 20 // bytes of an answer that are read
+	askMost   = 0.2     // s that sends wait for the change log after a standstill: it may be down
 	listLag   = 2.0     // s that a worker may be up before the change log has it
 )
 
@@ -88,6 +89,10 @@
 	last  int64
 	lost  int64 // the event that was missing when it was asked for last
 	gap   float64
+	grace float64 // s after which what the change log has counts as heard
+	held  bool    // sends wait for an answer of the change log
+	hold  loop.Timer
+	freed func() // lets them go
 	asked float64
 	good  float64    // when the latest question was asked that had a good answer; -Inf for none
 	timer loop.Timer // the next poll, or the end of this one's time
@@ -95,11 +100,13 @@
 	told  func(why string) // counts what went wrong
 }
 
-func newFeed(g *gateway.Gateway, told func(string)) *feed {
-	f := &feed{g: g, l: g.Loop, told: told}
+func newFeed(g *gateway.Gateway, grace float64, told func(string), freed func()) *feed {
+	f := &feed{g: g, l: g.Loop, told: told, grace: grace, freed: freed}
 	f.good = f.l.Now() // the configuration holds what was known at the start
 	f.call.Caller = f
 	f.timer.Fire = f.fire
+	f.hold.Fire = f.release
+	_ = f.stoodStill
 	return f
 }
 
@@ -111,20 +118,43 @@
 	}
 	f.pool = h1.NewPool(f.l, at, h1.PoolOptions{Conns: 1, Idle: 1, IdleTimeout: pollMost, ConnectTimeout: pollMost})
 	f.gap, f.out = 0, false
-	f.ask()
+	f.ask(pollWait)
 }
 
-func (f *feed) ask() {
+// stoodStill asks anew after a standstill in which what the change log told since may have become due: until it answers,
+// or for a moment, nothing is sent on the word of the list as it is.
+func (f *feed) stoodStill(span float64) {
+	if span <= f.grace/2 || f.pool == nil {
+		return
+	}
+	f.g.Note("asks_change_log_first", "standstill", nil, nil, span)
+	f.held = true
+	f.l.Start(&f.hold, askMost)
+	f.call.Cancel()
+	f.ask(0)
+}
+
+// release lets sends go.
+func (f *feed) release() {
+	if f.held {
+		f.held = false
+		f.l.Cancel(&f.hold)
+		f.freed()
+	}
+}
+
+// ask asks for the events after the last one, which may take wait seconds to come.
+func (f *feed) ask(wait float64) {
 	b := append(f.head[:0], "/changes?since="...)
 	b = strconv.AppendInt(b, f.last, 10)
 	b = append(b, "&timeout="...)
-	b = strconv.AppendInt(b, int64(pollWait*1e3), 10)
+	b = strconv.AppendInt(b, int64(wait*1e3), 10)
 	b = http1.AppendRequest(nil, "GET", string(b))
 	b = append(b, "Host: "...)
 	b = f.pool.Addr.AppendTo(b)
 	f.head = append(b, "\r\n\r\n"...)
 	f.body, f.over, f.asked, f.out = f.body[:0], false, f.l.Now(), true
-	f.l.Start(&f.timer, pollWait+pollSlack)
+	f.l.Start(&f.timer, wait+pollSlack)
 	f.pool.Do(&f.call, f.head, nil)
 }
 
@@ -136,7 +166,7 @@
 		f.again(true)
 		return
 	}
-	f.ask()
+	f.ask(pollWait)
 }
 
 // again sets the next poll.
@@ -196,6 +226,7 @@
 		f.g.Note("change_log_failed", closeReason(err), nil, nil, float64(f.last))
 		f.g.ListFailed(err)
 	}
+	f.release()
 	f.again(err != nil)
 }
 
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -43,6 +43,7 @@
 	quiet    loop.Timer // while draining: since nothing was in flight or came in
 	leaving  bool       // told to stop: nobody is to be sent here any more
 	refused  map[string]int
+	held     func() bool // nothing is to be sent to workers for a moment
 	workers  workers
 }
 
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -425,3 +426,49 @@
 		t.Errorf("%d stalled messages", n)
 	}
 }
+
+// After a standstill longer than the grace, nothing is sent on the word of a list that may be out of date: the change log is
+// asked first. One that does not answer holds nothing up for long.
+func TestStandstillAsksTheChangeLogFirst(t *testing.T) {
+	const still = 1700 * time.Millisecond
+	for _, answers := range []bool{true, false} {
+		k := newFailing(t)
+		a, b := newWorker(t, "w1", fine), newWorker(t, "w2", fine)
+		r := newRig(t, "load", a, b)
+		for range 4 {
+			r.expect("read", "returned")
+		}
+		c := r.dial()
+		r.until("it is accepted", func() bool { return r.d.front.conns > 0 })
+		r.on(func() { r.d.feed.grace = 0.2 })
+		if len(a.seen("invoke")) < len(b.seen("invoke")) {
+			a = b // the one that requests go to
+		}
+		before := len(a.seen("invoke"))
+		k.still.Store(int64(still))
+		r.d.Loop.Post(func() {})
+		time.Sleep(1200 * time.Millisecond) // the poll at hand has its answer by now
+		r.log.add(false, a.member("leaving", 0))
+		time.Sleep(20 * time.Millisecond)
+		if !answers {
+			r.log.mu.Lock()
+			r.log.odd = func(http.ResponseWriter, string) { time.Sleep(2 * time.Second) }
+			r.log.mu.Unlock()
+		}
+		sent := time.Now()
+		for range 10 {
+			c.send("read", "in", "patience=3000")
+		}
+		for range 10 {
+			if got, ok := c.answer(); !ok || kind(got) != "returned" {
+				t.Errorf("%+v %v", got, ok)
+			}
+		}
+		if took := time.Since(sent); took > still-1200*time.Millisecond+time.Duration(askMost*1e9)+200*time.Millisecond {
+			t.Errorf("answered after %v", took)
+		}
+		if n := len(a.seen("invoke")) - before; answers && n > 0 {
+			t.Errorf("%d attempts at a worker that has drained for longer than the grace", n)
+		}
+	}
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -71,7 +71,8 @@
 		l.Close()
 		return nil, err
 	}
-	d.feed = newFeed(d.Gateway, d.front.refuse)
+	d.feed = newFeed(d.Gateway, f.set.Num("rules.drain_grace", 0), d.front.refuse, d.front.workers.resume)
+	d.front.held = func() bool { return d.feed.held }
 	l.Later(func() {
 		if err := d.feed.take(&f.Known); err != nil {
 			log.Error().Err(err).Msg("the list of workers in the configuration was not taken")
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -66,7 +66,15 @@
 	now, sent := c.l.s.p.l.Clock(), conn.Sent()
 	for i := len(c.open) - 1; i >= 0; i-- {
 		r := c.open[i]
-		if r.f == nil || r.to <= sent {
+		if r.to <= sent {
+			continue
+		}
+		if r.f == nil { // an order has no deadline, but it may be overtaken
+			if r.from >= sent && now-r.handed > permit.DeadlineAge && c.retract(r) {
+				c.forget(r)
+				r.c = nil
+				c.l.enqueue(r)
+			}
 			continue
 		}
 		if r.from < sent { // its head has gone with a deadline that can't be changed any more
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -27,6 +27,7 @@
 	idle    float64
 	conns   map[*workerConn]struct{} // of all links
 	starved []*link                  // those that wait for a descriptor
+	waiting []*link                  // those with something to send while sends are held
 	most    int
 	report  []string
 	seq     uint64 // of tags
@@ -94,6 +95,10 @@
 // pump writes what is queued to connections with room, and connects where there are too few.
 func (l *link) pump() {
 	l.dirty = false
+	if l.s.p.held() {
+		l.s.waiting = append(l.s.waiting, l)
+		return
+	}
 	i := 0
 	for ; i < len(l.queue); i++ {
 		c := l.room()
@@ -162,6 +167,15 @@
 	s.starved = s.starved[:0]
 }
 
+// resume has the links look at what they have to send once sends are no longer held.
+func (s *workers) resume() {
+	for _, l := range s.waiting {
+		l.mark()
+	}
+	clear(s.waiting)
+	s.waiting = s.waiting[:0]
+}
+
 // closeIdle closes one idle connection to a worker, and tells whether there was one.
 func (s *workers) closeIdle() bool {
 	for c := range s.conns {
