After a standstill past half the grace the change log is asked before anything is sent

The loop tells the feed of a standstill once all that came in is heard; if it was longer than half the drain grace, the feed asks with a wait of 0 and links keep what they have to send until it answers, 0.2 s at most. A stop does not end while the backlog is not accepted (front.Conns counts it).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -312,7 +312,7 @@
 			w.link.Abandon()
 		}
 		g.stopBy = math.Min(g.stopBy, now)
-		if g.Loop.Stats.Conns.Load() == 0 || now > g.stopBy+stopLinger || g.front.Conns() == 0 && g.lingered(now) {
+		if g.Loop.Stats.Conns.Load() == 0 && g.front.Conns() == 0 || now > g.stopBy+stopLinger || g.front.Conns() == 0 && g.lingered(now) {
 			g.log.Info().Msg("stopped")
 			g.Loop.Stop()
 			return
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -106,7 +106,7 @@
 	f.call.Caller = f
 	f.timer.Fire = f.fire
 	f.hold.Fire = f.release
-	_ = f.stoodStill
+	f.l.OnStandstill = f.stoodStill
 	return f
 }
 
