Connections that the kernel does not watch are polled; fresh ones make no room

Found by the soak with short deadlines (0.1 s) and by tests under load.

Seen: with EMFILE one of 12 new connections closed. Cause, by the flight recorder and the counter idle_closed: room was made by closing a connection accepted a moment before, whose request was on its way.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -31,6 +31,7 @@
 	linger   bool
 	dialing  bool
 	resting  bool    // the kernel has no memory for it now
+	missed   bool    // it was not heard for a while: all of it is read at once
 	behind   bool    // what is there may have come in before the latest looks
 	since    float64 // and after this time
 	lookedIn int64   // the latest look when it fell behind
@@ -251,8 +252,8 @@
 		return
 	}
 	after := c.cameAfter()
-	most := 1 // bytes after which no further read is made
-	if leaves || c.l.catchingUp {
+	most := 1                                 // bytes after which no further read is made
+	if leaves || c.l.catchingUp || c.missed { // all of it, as the peer may have left since
 		most = readsMore * readSize
 	}
 	for taken := 0; taken < most && c.fd >= 0 && !c.paused; {
@@ -271,6 +272,7 @@
 	n, err := c.l.kernel.Read(c.fd, c.l.scratch)
 	switch {
 	case err == unix.EAGAIN:
+		c.behind, c.missed, c.since = false, false, c.l.now
 	case err == unix.EINTR:
 		return 0, true
 	case err == unix.ENOMEM || err == unix.ENOBUFS:
@@ -419,6 +421,7 @@
 		if c.fd < 0 {
 			continue
 		}
+		c.missed = true
 		c.fallBehind(c.since)
 		if !c.paused {
 			c.want(c.interest | unix.EPOLLIN)
--- a/internal/loop/poll.go
+++ b/internal/loop/poll.go
@@ -84,9 +84,24 @@
 		if e := &l.fds[u.fd]; e.gen == u.gen {
 			e.refused = false
 			if e.c != nil {
+				e.c.missed = true
 				e.c.fallBehind(e.c.since)
 			}
-			l.arm(u.fd)
+			if l.arm(u.fd); e.refused {
+				l.tryUnwatched(*e)
+			}
+		}
+	}
+}
+
+// tryUnwatched reads, writes or accepts what the kernel does not tell of meanwhile.
+func (l *Loop) tryUnwatched(e entry) {
+	switch c := e.c; {
+	case e.l != nil:
+		e.l.accept()
+	case c.up:
+		if c.Poll(); c.fd >= 0 && c.waits {
+			c.flush()
 		}
 	}
 }
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -15,6 +15,7 @@
 	first      *call // open on it
 	calls      int
 	timer      loop.Timer
+	since      float64 // when it was accepted
 	faults     int
 	reads      uint32
 	used       bool // a whole message has come in
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -9,6 +9,7 @@
 
 const (
 	openMost     = 32        // requests open on one connection: the protocol's
+	silentLeast  = 0.03      // s a new connection gets for its first message before it makes room: it is on its way
 	silentMost   = 1.5       // s a connection may say nothing at all: clients connect when they have something to send
 	partMost     = 1.0       // s a message may take to come in whole: one write at the client's
 	idleMost     = 20.0      // s between messages: clients close after a few
@@ -143,7 +144,7 @@
 }
 
 func (p *front) accept(conn *loop.Conn) loop.Handler {
-	c := &clientConn{p: p, conn: conn}
+	c := &clientConn{p: p, conn: conn, since: p.l.Now()}
 	c.timer.Fire = c.expired
 	p.conns++
 	c.link()
@@ -174,7 +175,7 @@
 func (p *front) longestIdle() *clientConn {
 	var idle *clientConn
 	for c := p.oldest.next; c != &p.oldest; c = c.next {
-		if c.calls > 0 || c.part && c.used {
+		if c.calls > 0 || c.part && c.used || !c.used && p.l.Now()-c.since < silentLeast {
 			continue
 		}
 		if !c.used {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -50,6 +51,16 @@
 			s.hist.Told["s-00-0"] = 0.5
 			s.plan.Troubles = []Trouble{{Kind: LogFails, From: 0.4, To: 0.8}}
 		}},
+		{"too much for a cold worker", "P8", func(s *stage, _ *Request, a *Attempt) {
+			s.plan.Span, s.plan.Site.Workers = 10, 2
+			s.hist.Started["s-07-1"] = 5
+			for i := range 200 { // 10 a second at each
+				s.hist.attempt(&Attempt{ID: fmt.Sprint(i), Worker: "s-00-0", Whole: 1 + float64(i)/25})
+			}
+			for i := range 18 {
+				s.hist.attempt(&Attempt{ID: fmt.Sprint(i), Worker: "s-07-1", Whole: 5 + float64(i)/50})
+			}
+		}},
 		{"another key", "P13", func(_ *stage, _ *Request, a *Attempt) { a.Key = "k" }},
 		{"a body no worker made", "P13", func(_ *stage, r *Request, _ *Attempt) { r.Body = "x" }},
 	} {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -104,9 +104,9 @@
 func Draw(seed uint64, b Bounds) Plan {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	p := Plan{Seed: seed, Span: b.Span}
-	p.Site = Site{Dispatchers: b.Dispatchers, Workers: 4 + rnd.IntN(6), Deadline: pick(rnd, 0.25, 0.6, 1.2, 2.5), Window: pick(rnd, 0.2, 1, 3),
-		Grace: pick(rnd, 0.3, 1), ConnectTimeout: pick(rnd, 0.05, 0.25, 1), ConnIdle: pick(rnd, 0.6, 5, 15), Streams: pick(rnd, 1, 4, 32),
-		Sockets: pick(rnd, 128, 256), RetryAfter: rnd.IntN(2) == 0, Hedge: rnd.IntN(4) > 0, Cancel: true}
+	p.Site = Site{Dispatchers: b.Dispatchers, Workers: 4 + rnd.IntN(6), Deadline: pick(rnd, 0.1, 0.25, 0.6, 1.2, 2.5), Window: pick(rnd, 0.05, 0.2, 1, 3),
+		Grace: pick(rnd, 0.3, 1), ConnectTimeout: pick(rnd, 0.02, 0.05, 0.25, 1, 5), ConnIdle: pick(rnd, 0.6, 5, 15), Streams: pick(rnd, 1, 4, 32),
+		Sockets: pick(rnd, 64, 128, 256), RetryAfter: rnd.IntN(2) == 0, Hedge: rnd.IntN(4) > 0, Cancel: true}
 	kinds := b.Only
 	if len(kinds) == 0 {
 		for _, k := range Kinds {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -27,6 +27,11 @@
 	readySpan   = 10.0 // s within which a start is to be ready
 	reloadSpan  = 4.0  // s within which a reload is to be in force
 	memoryLimit = 48   // MB told
+
+	coldShare      = 0.2 // of its capacity that a worker has at its start
+	warmAfter      = 4.0 // s until it has all of it
+	overloadFactor = 2.0 // of what it can do that pushes it over
+	fallSpan       = 1.0 // s in which that counts
 )
 
 // span is a time.
@@ -86,7 +91,7 @@
 		"load_report": map[string]any{"fields": []string{"inflight", "queue"}, "via": "answers"},
 		"limits": map[string]any{"cancel": s.Cancel, "parallel_tries": s.Hedge, "probing": true, "retry_after": s.RetryAfter, "max_retry_after_us": 500000,
 			"max_attempts": 4, "streams_per_conn": s.Streams, "conn_idle_us": us(s.ConnIdle), "connect_timeout_us": us(s.ConnectTimeout), "open_cap": 20000},
-		"rules": map[string]any{"drain_grace_us": us(s.Grace), "cold_share": 0.2, "warm_after_us": 1000000, "overload_factor": 2, "fall_us": 1000000},
+		"rules": map[string]any{"drain_grace_us": us(s.Grace), "cold_share": coldShare, "warm_after_us": us(warmAfter), "overload_factor": overloadFactor, "fall_us": us(fallSpan)},
 	}
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("n%d", p.index), "listen": p.address, "seed": fmt.Sprintf("%016x", p.s.plan.Seed*1000+uint64(p.index)),
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryLimit, "sockets": s.Sockets}, "changelog": p.s.log.addrs[p.logAt],
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -288,7 +288,8 @@
 	s.hist.update(func() { s.hist.Told[id] = s.hist.Now() })
 	s.log.add(false, w.member("leaving"))
 	time.Sleep(time.Duration((s.plan.Site.Grace + 0.3) * 1e9))
-	was, _ := w.replace()
+	was, is := w.replace()
+	s.hist.update(func() { s.hist.Started[is] = s.hist.Now() })
 	s.log.add(false, member(was, w.address, "left", 0), w.member("active"))
 }
 
