Failures of this machine spare the worker over HTTP too; messages get on in a slow process

TestLocalFailuresSpareTheWorker saw 15 attempts count against a worker that this machine had no port to reach; lost() takes LocalError for not sent now. A message that was written anew three times for its age may leave at 0.1 s (permit.Leave), so that a dispatcher whose turns take over 50 ms is not held up for ever.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -7,6 +7,7 @@
 	"mastchute/control"
 	"mastchute/internal/h1"
 	"mastchute/internal/http1"
+	"mastchute/internal/loop"
 )
 
 // What follows is pure: it reads what a worker said.
@@ -149,7 +150,7 @@
 	switch {
 	case wrote:
 		return control.Reset
-	case errors.Is(err, h1.ErrAbandoned):
+	case errors.Is(err, h1.ErrAbandoned), errors.As(err, new(*loop.LocalError)): // it says nothing of the worker
 		return control.NotSent
 	default:
 		return control.ConnectFailed
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// A connection that this machine has no means for says nothing of the worker.
+func TestLocalFailuresSpareTheWorker(t *testing.T) {
+	var fails atomic.Bool
+	sys.Default = &faults.Kernel{Kernel: sys.Linux{}, Fail: func(c faults.Call, _ int) error {
+		if c == faults.Connect && fails.Load() {
+			return unix.EADDRNOTAVAIL
+		}
+		return nil
+	}}
+	t.Cleanup(func() { sys.Default = sys.Linux{} })
+	r := newRig(t, "limits: {connect_timeout: 30ms}\n", nil, newWorker(t, "w1", fine))
+	r.on(func() { r.g.CloseIdle(r.g.Members.All()[0].ID) })
+	fails.Store(true)
+	for range 5 {
+		if a := r.ask("read-1", "", "in"); a.answer != "shed" {
+			t.Errorf("%+v", a)
+		}
+	}
+	if n := counted(r, "mastchute_forward_ends_total", "connect_failed"); n > 0 {
+		t.Errorf("%g attempts count against the worker", n)
+	}
+	fails.Store(false)
+	r.expect("read-1", 200, "returned")
+}
+
 // Requests that cross a stop are answered: those unread in the kernel, and those of
 // connections that wait to be accepted.
 func TestStopReadsFirst(t *testing.T) {
--- a/internal/gateway/http_link.go
+++ b/internal/gateway/http_link.go
@@ -65,7 +65,7 @@
 func (c *httpCall) Renew() ([]byte, bool) {
 	f := c.f
 	now := f.g.Loop.Clock()
-	if f.Permit(now, now) != permit.Allowed {
+	if f.Permit(now, now, 0) != permit.Allowed {
 		return nil, false
 	}
 	c.head = f.g.requestHead(c.head[:0], f.Request.Client.(*httpClient).x, f)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -49,11 +49,11 @@
 func (w *Worker) ready() bool { return w.State == control.Ready }
 
 // Permit tells whether the first byte of an attempt may go to the kernel at a time of the loop's clock, in a message that
-// was written at another. A refusal is counted: the attempt was overtaken on its way out, which is no fault.
-func (f *Attempt) Permit(now, written float64) permit.Reason {
+// was written at another, for the renewed-th time. A refusal is counted: the attempt was overtaken on its way out, which is no fault.
+func (f *Attempt) Permit(now, written float64, renewed int) permit.Reason {
 	terms := f.Request.terms(f.Worker, f.Index)
 	terms.RepeatsUntil = f.NotAfter
-	why := permit.Leave(now, written, terms, f.Worker.ready())
+	why := permit.Leave(now, written, renewed, terms, f.Worker.ready())
 	if why != permit.Allowed {
 		f.g.Metrics.overtaken.WithLabelValues(ruleNames[why.Rule()], why.String()).Inc()
 		f.g.Note("overtaken", why.String(), f.Request, f.Worker, now-written)
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -11,6 +11,9 @@
 	BudgetLeast = 1
 	// DeadlineAge is how old, in seconds, a deadline may be when its message leaves: the rule allows 0.15.
 	DeadlineAge = 0.05
+	// renewMost is how often a message is written anew for its age; then PartialAge holds, so that a dispatcher that is
+	// slow itself gets on.
+	renewMost = 3
 	// PartialAge is how old a message may be when the rest of it leaves, in seconds; its head can't be changed any more.
 	PartialAge = 0.1
 )
@@ -101,12 +104,16 @@
 }
 
 // Leave tells whether the first byte of a message may go to the kernel: what holds for the attempt has to hold still,
-// and the deadline in it, set when it was written, has to be true still.
-func Leave(now, written float64, q Request, ready bool) Reason {
+// and the deadline in it, set when it was written for the renewed-th time, has to be true still.
+func Leave(now, written float64, renewed int, q Request, ready bool) Reason {
 	if r := Attempt(now, q, ready); r != Allowed {
 		return r
 	}
-	if now-written > DeadlineAge {
+	most := DeadlineAge
+	if renewed >= renewMost {
+		most = PartialAge
+	}
+	if now-written > most {
 		return Stale
 	}
 	return Allowed
--- a/internal/platform/outgoing.go
+++ b/internal/platform/outgoing.go
@@ -15,6 +15,7 @@
 	queued   bool
 	name     [24]byte // id or tag
 	n        int
+	renewed  int     // how often it was written anew for its age
 	from, to uint64  // its place among the bytes of the connection
 	handed   float64 // when it was written to the connection; the deadline in it is of then
 }
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -84,7 +84,7 @@
 			}
 			continue
 		}
-		if why := r.f.Permit(now, r.handed); why != permit.Allowed && c.retract(r) {
+		if why := r.f.Permit(now, r.handed, r.renewed); why != permit.Allowed && c.retract(r) {
 			c.forget(r)
 			r.c = nil
 			c.l.overtaken(r, why)
@@ -95,6 +95,7 @@
 // overtaken takes back a message that may not go as it is: one with an old deadline is written anew.
 func (l *link) overtaken(r *sent, why permit.Reason) {
 	if why == permit.Stale {
+		r.renewed++
 		l.enqueue(r)
 		return
 	}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -107,7 +107,7 @@
 		}
 		r := l.queue[i]
 		r.queued = false
-		if now := l.s.p.l.Clock(); r.f != nil && r.f.Permit(now, now) != permit.Allowed {
+		if now := l.s.p.l.Clock(); r.f != nil && r.f.Permit(now, now, 0) != permit.Allowed {
 			r.end(control.NotSent)
 			continue
 		}
