Test, red: a change log that answers 2 s late is never heard

Read in the code: each poll is cancelled 0.3 s after the wait it asked for, and asked again, so that a slow or crowded change log is never heard, not a drain and not a new worker. The event is not heard after 7 s. What computes the next wait is there, not yet in use.

--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -19,14 +19,15 @@
 )
 
 const (
-	pollWait  = 1.0     // s that a poll asks the change log to wait: what goes silent is noticed that much later
-	pollSlack = 0.3     // s for the answer beyond that
-	pollLeast = 0.02    // s from one poll to the next at least, so that quick empty answers are no busy loop
-	pollFirst = 0.05    // s of backoff after one that failed, less jitter; doubles
-	pollMost  = 1.0     // s, the most of it
-	pollBody  = 4 << 20 // bytes of an answer that are read
-	askMost   = 0.2     // s that sends wait for the change log after a standstill: it may be down
-	listLag   = 2.0     // s that a worker may be up before the change log has it
+	pollWait      = 1.0     // s that a poll asks the change log to wait: what goes silent is noticed that much later
+	pollSlack     = 0.3     // s for the answer beyond that, at first
+	pollSlackMost = 4.0     // s, the most of it
+	pollLeast     = 0.02    // s from one poll to the next at least, so that quick empty answers are no busy loop
+	pollFirst     = 0.05    // s of backoff after one that failed, less jitter; doubles
+	pollMost      = 1.0     // s, the most of it
+	pollBody      = 4 << 20 // bytes of an answer that are read
+	askMost       = 0.2     // s that sends wait for the change log after a standstill: it may be down
+	listLag       = 2.0     // s that a worker may be up before the change log has it
 )
 
 // Changes are events of the change log.
@@ -89,6 +90,8 @@
 	last  int64
 	lost  int64 // the event that was missing when it was asked for last
 	gap   float64
+	wait  float64 // s asked for
+	slack float64 // s that the answer may take beyond that
 	grace float64 // s after which what the change log has counts as heard
 	held  bool    // sends wait for an answer of the change log
 	hold  loop.Timer
@@ -102,6 +105,7 @@
 
 func newFeed(g *gateway.Gateway, grace float64, told func(string), freed func()) *feed {
 	f := &feed{g: g, l: g.Loop, told: told, grace: grace, freed: freed}
+	f.slack = pollSlack
 	f.good = f.l.Now() // the configuration holds what was known at the start
 	f.call.Caller = f
 	f.timer.Fire = f.fire
@@ -154,6 +158,7 @@
 	b = f.pool.Addr.AppendTo(b)
 	f.head = append(b, "\r\n\r\n"...)
 	f.body, f.over, f.asked, f.out = f.body[:0], false, f.l.Now(), true
+	f.wait = wait
 	f.l.Start(&f.timer, wait+pollSlack)
 	f.pool.Do(&f.call, f.head, nil)
 }
@@ -161,6 +166,7 @@
 func (f *feed) fire() {
 	if f.out { // silence
 		f.told("change_log_silent")
+		f.slack = nextSlack(f.slack, true, 0)
 		f.g.Note("change_log_silent", "", nil, nil, float64(f.last))
 		f.call.Cancel()
 		f.again(true)
@@ -184,6 +190,15 @@
 	return math.Min(pollMost, math.Max(pollFirst, 2*gap))
 }
 
+// nextSlack is how long the next answer may take beyond the wait asked for: longer each time after silence, as a slow change
+// log would else never be heard; after an answer twice what it took beyond.
+func nextSlack(slack float64, silent bool, beyond float64) float64 {
+	if silent {
+		return math.Min(pollSlackMost, 2*slack)
+	}
+	return math.Min(pollSlackMost, math.Max(pollSlack, 2*beyond))
+}
+
 // pollDelay is how long to wait for the next poll, by chance from 0 to 1: after an outage all dispatchers would else ask
 // in step. One that was asked a moment ago waits a little in any case.
 func pollDelay(gap, chance, sinceAsked float64) float64 {
@@ -220,6 +235,7 @@
 	}
 	if err == nil {
 		f.good = f.asked
+		f.slack = nextSlack(f.slack, false, f.l.Now()-f.asked-f.wait)
 	}
 	if err != nil {
 		f.told("change_log_failed")
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -493,3 +493,36 @@
 		}
 	}
 }
+
+// A change log that answers each question seconds late is heard all the same: its answers are waited for longer each time.
+func TestSlowChangeLogIsHeard(t *testing.T) {
+	w := newWorker(t, "w1", fine)
+	r := newRig(t, "load", w)
+	r.log.mu.Lock()
+	r.log.late = 2 * time.Second
+	r.log.mu.Unlock()
+	r.log.add(false, w.member("leaving", 0))
+	deadline := time.Now().Add(7 * time.Second)
+	for heard := false; !heard; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the event is not heard after 7 s")
+		}
+		r.on(func() { heard = r.d.feed.last == 2 })
+	}
+}
+
+func TestPollSlackFollowsTheChangeLog(t *testing.T) {
+	slack := pollSlack
+	for range 10 {
+		slack = nextSlack(slack, true, 0)
+	}
+	if slack != pollSlackMost {
+		t.Errorf("%g s after silence", slack)
+	}
+	if slack = nextSlack(slack, false, 1.2); slack != 2.4 {
+		t.Errorf("%g s after an answer 1.2 s late", slack)
+	}
+	if slack = nextSlack(slack, false, 0); slack != pollSlack {
+		t.Errorf("%g s after an answer in time", slack)
+	}
+}
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -170,6 +170,7 @@
 	more   chan struct{}
 	polls  []int64
 	odd    func(w http.ResponseWriter, events string)
+	late   time.Duration // by which each answer comes late
 }
 
 func newChangeLog(t *testing.T) *changeLog {
@@ -208,9 +209,10 @@
 		}
 	}
 	l.mu.Lock()
-	text, odd := l.since(n), l.odd
+	text, odd, late := l.since(n), l.odd, l.late
 	l.odd = nil
 	l.mu.Unlock()
+	time.Sleep(late)
 	if odd != nil {
 		odd(w, text)
 		return
