A slow change log is waited for longer each time it is silent

TestSlowChangeLogIsHeard passes; a silent log is still noticed after 1.3 s at first (TestChangeLogFails).

--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -159,7 +159,7 @@
 	f.head = append(b, "\r\n\r\n"...)
 	f.body, f.over, f.asked, f.out = f.body[:0], false, f.l.Now(), true
 	f.wait = wait
-	f.l.Start(&f.timer, wait+pollSlack)
+	f.l.Start(&f.timer, wait+f.slack)
 	f.pool.Do(&f.call, f.head, nil)
 }
 
