A start waits 8 s for a configuration that can't be read, and 20 ms between tries to listen

EIO on the configuration may last longer than a half-written file does; a start is to be ready in 10 s. Tries to listen had grown apart to 0.25 s, in which clients of a process that just ended would be refused.

--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -156,7 +156,11 @@
 			t.Setenv("LB_CONFIG", path)
 			os.WriteFile(path, []byte(runFile(t)), 0o600)
 			k := newFailing(t)
-			k.fail(c.call, c.errno, 150*time.Millisecond)
+			span := 150 * time.Millisecond
+			if c.call == faults.ReadFile {
+				span = 1500 * time.Millisecond // a disk may take its time
+			}
+			k.fail(c.call, c.errno, span)
 			runUntilServing(t)
 			if k.hits.Load() == 0 {
 				t.Error("the call never failed")
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -24,7 +24,9 @@
 
 const (
 	listenFor  = 20.0 // s for which a start waits for what the machine lacks, or for the address that the process before still holds
-	readFor    = 1.0  // s for which a start waits for a configuration that can be read
+	listenGap  = 0.02 // s between those tries at most: clients come as soon as the process before has ended
+	openFor    = 8.0  // s for which a start waits for a configuration that the machine can't read now; it is to be ready in 10
+	wholeFor   = 1.0  // s for which it waits for one that makes no sense: it may be half written
 	reloadFor  = 10.0 // s for which a reload that can't be read is tried again: the file may be half written
 	tellEvery  = 5.0  // s from one log line of what was refused to the next
 	configName = "LB_CONFIG"
@@ -150,7 +152,7 @@
 			} else {
 				f = n
 			}
-		case <-time.After(wait):
+		case <-time.After(min(wait, time.Duration(listenGap*float64(time.Second)))):
 		}
 	}
 }
@@ -158,12 +160,16 @@
 // readWhenWhole reads the configuration for a start; while it is half written, or can't be read for a moment, it tries
 // again. It returns nil where it is told to stop.
 func readWhenWhole(path string, sig *lifecycle.Signals) (*File, error) {
-	retry := lifecycle.NewRetry(time.Now(), readFor)
+	open, whole := lifecycle.NewRetry(time.Now(), openFor), lifecycle.NewRetry(time.Now(), wholeFor)
 	for {
 		f, err := ReadFile(path)
 		if err == nil || path == "" {
 			return f, err
 		}
+		retry := &whole
+		if lifecycle.Passing(err) {
+			retry = &open
+		}
 		wait, more := retry.Next(time.Now())
 		if !more {
 			return nil, err
