Soak: what waits to be accepted can't be answered while accept fails

No process could answer them before, so the oracle counts that time for connections on which nothing was answered yet, and only for them.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -148,13 +148,14 @@
 
 // clientConn is one connection of a client.
 type clientConn struct {
-	c    net.Conn
-	s    *stage
-	seq  int32
-	mu   sync.Mutex
-	open map[int32]*Request
-	dead bool
-	done chan struct{}
+	c        net.Conn
+	s        *stage
+	seq      int32
+	mu       sync.Mutex
+	open     map[int32]*Request
+	dead     bool
+	answered bool // once at least
+	done     chan struct{}
 }
 
 // client is one client of one dispatcher.
@@ -189,6 +190,7 @@
 		r, err := readReply(frame)
 		k.mu.Lock()
 		q, dead := k.open[r.seq], k.dead
+		k.answered = true
 		delete(k.open, r.seq)
 		k.mu.Unlock()
 		if dead { // closed by the client a moment ago
@@ -299,11 +301,11 @@
 		return
 	}
 	k.seq++
-	seq := k.seq
+	seq, isNew := k.seq, !k.answered
 	k.open[seq] = q
 	k.mu.Unlock()
 	q.Patience = float64(int(q.Patience*1e3)) / 1e3
-	q.Local = k.c.LocalAddr().String()
+	q.Local, q.New = k.c.LocalAddr().String(), isNew
 	q.Sent = c.s.hist.Now()
 	c.s.hist.request(q)
 	_, err := k.c.Write(callMessage(seq, fields, body))
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -50,6 +50,7 @@
 	Answers    int
 	Alone      bool // its connection had rested: it carried others before, and nothing else was open on it
 	Local      string
+	New        bool // nothing was answered on its connection yet, which may wait to be accepted
 }
 
 // Attempt is one message as a worker's socket carried it.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -69,7 +69,7 @@
 func (j *judge) request(r *Request) {
 	p := j.s.processes[r.Dispatcher]
 	due := r.Sent + r.Patience + lateAnswer
-	due += p.stoppedWithin(r.Sent, due) + j.s.mute(r.Dispatcher, r.Sent, due) + harnessSlack + j.s.lateness(r.Sent, due)
+	due += p.stoppedWithin(r.Sent, due) + j.s.mute(r.Dispatcher, r.Sent, due, r.New) + harnessSlack + j.s.lateness(r.Sent, due)
 	switch r.Ending {
 	case Gone, Refused, Crossed:
 		return
@@ -90,7 +90,7 @@
 func (j *judge) attempts(r *Request, list []*Attempt) {
 	for i, a := range list {
 		slack := harnessSlack + j.s.lateness(a.First-0.3, a.First+0.1)
-		deaf := j.s.mute(r.Dispatcher, r.Sent, a.First) // what a client says can't be read meanwhile
+		deaf := j.s.mute(r.Dispatcher, r.Sent, a.First, r.New) // what a client says can't be read meanwhile
 		if r.Left > 0 && a.First > r.Left+goneSlack+slack+deaf {
 			j.add("P2", a.First, "attempt of %s begins %.3f s after its client left dispatcher %d", r.ID, a.First-r.Left, r.Dispatcher)
 		}
@@ -176,10 +176,11 @@
 }
 
 // mute is how long a dispatcher's reads and writes fail for want of memory, or come in scraps, from one time to another: it
-// can neither hear nor answer meanwhile.
-func (s *stage) mute(dispatcher int, from, to float64) (sum float64) {
+// can neither hear nor answer meanwhile. On a new connection the same holds while it can accept none.
+func (s *stage) mute(dispatcher int, from, to float64, isNew bool) (sum float64) {
 	for _, t := range s.plan.Troubles {
-		if t.Target == dispatcher && (t.Kind == WriteFails || t.Kind == ReadFails) && t.To > from && t.From < to {
+		deaf := t.Kind == WriteFails || t.Kind == ReadFails || isNew && (t.Kind == AcceptFails || t.Kind == Descriptors)
+		if deaf && t.Target == dispatcher && t.To > from && t.From < to {
 			sum += t.To - t.From
 		}
 	}
