--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -75,6 +75,8 @@
 	gauge("mastchute_connections", "Connections open, to clients and to workers.", func() float64 { return float64(stats.Conns.Load()) })
 	gauge("mastchute_accepted_total", "Connections accepted.", func() float64 { return float64(stats.Accepted.Load()) })
 	gauge("mastchute_no_descriptor_total", "Times accepting ran out of descriptors.", func() float64 { return float64(stats.NoDescriptor.Load()) })
+	gauge("mastchute_local_failures_total", "System calls that failed for want of the machine's means; they are tried again.", func() float64 { return float64(stats.LocalFailures.Load()) })
+	gauge("mastchute_standstills_total", "Times the process stood still for over 0.1 s.", func() float64 { return float64(stats.Standstills.Load()) })
 	gauge("mastchute_loop_turns_total", "Turns of the loop.", func() float64 { return float64(stats.Turns.Load()) })
 	gauge("mastchute_loop_late_seconds", "How late the latest timer fired.", func() float64 { return float64(stats.LateNs.Load()) / 1e9 })
 	gauge("mastchute_loop_longest_turn_seconds", "Longest turn of the loop so far.", func() float64 { return float64(stats.TurnNs.Load()) / 1e9 })
