Accept that fails each time rests; an idle process counts no standstill

TestFailingAcceptDoesNotSpin saw 64 calls a turn in a busy loop while accept fails with ECONNABORTED, EPERM or EINTR. Waits last 40 ms at most, so that two of them stay under the 0.1 s that count as none, and a standstill under 0.12 s asks the change log nothing.

--- /dev/null
+++ b/internal/loop/faults_test.go
@@ -0,0 +1,66 @@
+//go:build linux
+
+package loop
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mastchute/internal/sys"
+	"mastchute/internal/sys/faults"
+)
+
+// Accept that fails each time, whatever it says, is no busy loop, and who waits is served afterwards.
+func TestFailingAcceptDoesNotSpin(t *testing.T) {
+	for _, errno := range []syscall.Errno{unix.ECONNABORTED, unix.EPERM, unix.EINTR, unix.ENFILE} {
+		var fails atomic.Bool
+		var calls atomic.Int64
+		sys.Default = &faults.Kernel{Kernel: sys.Linux{}, Fail: func(c faults.Call, _ int) error {
+			if c != faults.Accept || !fails.Load() {
+				return nil
+			}
+			calls.Add(1)
+			return errno
+		}}
+		l, do := running(t, 0)
+		sys.Default = sys.Linux{}
+		ln := listen(t, l, do, echo)
+		fails.Store(true)
+		var conns []net.Conn
+		for range 5 {
+			conns = append(conns, dial(t, ln))
+		}
+		time.Sleep(200 * time.Millisecond)
+		if n := calls.Load(); n == 0 || n > 3000 {
+			t.Errorf("%v: %d calls in 0.2 s", errno, n)
+		}
+		fails.Store(false)
+		for _, c := range conns {
+			c.Write([]byte("x"))
+			if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+				t.Errorf("%v: %v", errno, err)
+			}
+		}
+	}
+}
+
+// An idle loop that is given its processor counts no standstill.
+func TestIdleLoopStandsNotStill(t *testing.T) {
+	l, do := running(t, 0)
+	ln := listen(t, l, do, echo)
+	c := dial(t, ln)
+	for range 12 {
+		time.Sleep(31 * time.Millisecond)
+		c.Write([]byte("x"))
+		io.ReadFull(c, make([]byte, 1))
+	}
+	if n := l.Stats.Standstills.Load(); n > 1 { // one may be the machine's
+		t.Errorf("%d standstills", n)
+	}
+}
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -113,12 +113,16 @@
 	if !ln.behind {
 		ln.emptyAt = math.Max(ln.emptyAt, ln.l.heardTo)
 	}
+	before := ln.l.Stats.Accepted.Load()
 	for i := range acceptTurn {
 		if ln.fd < 0 || !ln.acceptOne(i == 0) {
 			return
 		}
 	}
-	ln.behind = true
+	if ln.behind = true; ln.l.Stats.Accepted.Load() == before { // nothing but failures: no busy loop
+		ln.restMore()
+		return
+	}
 	if ln.draining {
 		ln.l.Later(ln.accept)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -33,7 +33,7 @@
 	acceptMost   = 0.05     // s, the most of it: clients wait meanwhile
 	roomRest     = 0.01     // s without accepting while there is no room for another connection
 	localRest    = 0.01     // s after a system call failed for want of the machine's means until it is tried again
-	heartbeat    = 0.05     // s that a wait lasts at most, so that a standstill shows
+	heartbeat    = 0.04     // s that a wait lasts at most, so that a standstill shows
 	arrivalSlack = 0.1      // s between two looks that count as none: deadlines may be so much too long, and a little more
 	lookSpan     = 0.05     // s since the latest look after which there is another one before anything goes out
 	looksTurn    = 2        // of those in a turn
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -19,15 +19,16 @@
 )
 
 const (
-	pollWait      = 1.0     // s that a poll asks the change log to wait: what goes silent is noticed that much later
-	pollSlack     = 0.3     // s for the answer beyond that, at first
-	pollSlackMost = 4.0     // s, the most of it
-	pollLeast     = 0.02    // s from one poll to the next at least, so that quick empty answers are no busy loop
-	pollFirst     = 0.05    // s of backoff after one that failed, less jitter; doubles
-	pollMost      = 1.0     // s, the most of it
-	pollBody      = 4 << 20 // bytes of an answer that are read
-	askMost       = 0.2     // s that sends wait for the change log after a standstill: it may be down
-	listLag       = 2.0     // s that a worker may be up before the change log has it
+	pollWait        = 1.0     // s that a poll asks the change log to wait: what goes silent is noticed that much later
+	pollSlack       = 0.3     // s for the answer beyond that, at first
+	pollSlackMost   = 4.0     // s, the most of it
+	pollLeast       = 0.02    // s from one poll to the next at least, so that quick empty answers are no busy loop
+	pollFirst       = 0.05    // s of backoff after one that failed, less jitter; doubles
+	pollMost        = 1.0     // s, the most of it
+	pollBody        = 4 << 20 // bytes of an answer that are read
+	askMost         = 0.2     // s that sends wait for the change log after a standstill: it may be down
+	standstillLeast = 0.12    // s of a standstill after which the change log may be asked first: shorter ones are no news
+	listLag         = 2.0     // s that a worker may be up before the change log has it
 )
 
 // Changes are events of the change log.
@@ -128,7 +129,7 @@
 // stoodStill asks anew after a standstill in which what the change log told since may have become due: until it answers,
 // or for a moment, nothing is sent on the word of the list as it is.
 func (f *feed) stoodStill(span float64) {
-	if span <= f.grace/2 || f.pool == nil {
+	if span <= math.Max(f.grace/2, standstillLeast) || f.pool == nil {
 		return
 	}
 	f.g.Note("asks_change_log_first", "standstill", nil, nil, span)
