--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -280,7 +280,7 @@
 	case err != nil:
 		c.end(os.NewSyscallError("read", err))
 	case n == 0:
-		c.end(io.EOF)
+		c.peerClosed()
 	case c.linger: // dropped
 	case c.paused: // the peer has left with bytes unread: nobody will answer to them
 		c.in = append(c.in, c.l.scratch[:n]...)
@@ -379,6 +379,22 @@
 	BeforeWrite(c *Conn)
 }
 
+// HalfCloser is a Handler that has something to say to a peer that has closed its side: it may still read.
+type HalfCloser interface {
+	// PeerClosed is called before the connection ends for that; it may write, and close the connection by CloseFlushed.
+	PeerClosed(c *Conn)
+}
+
+// peerClosed ends a connection whose peer has closed its side.
+func (c *Conn) peerClosed() {
+	if h, ok := c.h.(HalfCloser); ok && !c.linger {
+		if h.PeerClosed(c); c.linger {
+			return
+		}
+	}
+	c.end(io.EOF)
+}
+
 // HeardAt is when the bytes that Data is called with came in, as early as the loop's looks allow: it may have stood
 // still since. It is on the loop's clock and never in the future.
 func (c *Conn) HeardAt() float64 { return c.heardAt }
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -41,6 +41,18 @@
 // Drained implements loop.Handler.
 func (c *clientConn) Drained(*loop.Conn) {}
 
+// PeerClosed implements loop.HalfCloser. A client that closed its side has gone for all that can be told, and nothing goes
+// on for it; should it still read, each of its requests has its final answer.
+func (c *clientConn) PeerClosed(*loop.Conn) {
+	if c.calls == 0 {
+		return
+	}
+	for k := c.first; k != nil; k = k.next {
+		c.write(thrift.AppendFailed(c.p.scratch[:0], k.seq, "the client closed its side"))
+	}
+	c.endSoon("peer_closed")
+}
+
 // Closed implements loop.Handler: the client has gone, and wants none of its answers.
 func (c *clientConn) Closed(_ *loop.Conn, err error) { c.over(closeReason(err)) }
 
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -530,3 +530,29 @@
 		t.Errorf("%g s after an answer in time", slack)
 	}
 }
+
+// A client that closes its side only, with requests open, is told that they failed, and not cut off; nothing begins for it.
+func TestHalfClosedClientIsAnswered(t *testing.T) {
+	w := newWorker(t, "w1", fine, silent)
+	r := newRig(t, "load", w)
+	r.expect("once", "returned")
+	c := r.dial()
+	for range 3 {
+		c.send("once", "in")
+	}
+	r.until("they are out", func() bool { return len(w.seen("invoke")) == 4 })
+	c.Conn.(*net.TCPConn).CloseWrite()
+	seqs := map[int32]bool{}
+	for range 3 {
+		a, ok := c.answer()
+		if !ok || kind(a) != "failed" {
+			t.Errorf("%+v %v", a, ok)
+		}
+		seqs[a.Seq] = true
+	}
+	if _, ok := c.answer(); ok || len(seqs) != 3 {
+		t.Errorf("%d requests answered, one more answer: %v", len(seqs), ok)
+	}
+	r.idle()
+	r.until("the attempts are called off", func() bool { return len(w.seen("abort")) == 3 })
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -154,6 +154,7 @@
 	mu       sync.Mutex
 	open     map[int32]*Request
 	dead     bool
+	half     bool // the client has closed its side, and reads on
 	answered bool // once at least
 	done     chan struct{}
 }
@@ -250,7 +251,7 @@
 	}
 	if k := c.conn; k != nil {
 		k.mu.Lock()
-		dead, open := k.dead, len(k.open)
+		dead, open := k.dead || k.half, len(k.open)
 		k.mu.Unlock()
 		if dead || c.rnd.IntN(20) == 0 && open == 0 { // clients come and go
 			if !dead {
@@ -296,7 +297,7 @@
 		body = make([]byte, 12<<10)
 	}
 	k.mu.Lock()
-	if k.dead {
+	if k.dead || k.half {
 		k.mu.Unlock()
 		return
 	}
@@ -321,16 +322,25 @@
 		leave = c.rnd.Float64() * 0.05
 	}
 	c.wg.Add(1)
-	go c.follow(k, q, seq, leave, c.rnd.IntN(3) == 0, again)
+	go c.follow(k, q, seq, departure{after: leave, closes: c.rnd.IntN(3) == 0, half: c.rnd.IntN(2) == 0}, again)
+}
+
+// departure is how a client leaves before its answer: by a cancel, a close, or a close of its side only. A negative time
+// means that it stays.
+type departure struct {
+	after        float64
+	closes, half bool
 }
 
 // follow waits for the end of a request: an answer, a close, or the end of its time; or it leaves before.
-func (c *client) follow(k *clientConn, q *Request, seq int32, leave float64, closes, again bool) {
+func (c *client) follow(k *clientConn, q *Request, seq int32, d departure, again bool) {
 	defer c.wg.Done()
 	h := c.s.hist
-	if leave >= 0 {
-		time.Sleep(time.Duration(leave * 1e9))
-		if closes {
+	if d.after >= 0 {
+		time.Sleep(time.Duration(d.after * 1e9))
+		if d.closes && d.half {
+			k.halfClose()
+		} else if d.closes {
 			now := h.Now()
 			k.mu.Lock()
 			open := k.open
@@ -349,8 +359,9 @@
 		}
 		k.mu.Lock()
 		_, open := k.open[seq]
+		half := k.half
 		k.mu.Unlock()
-		if open {
+		if open && !half {
 			now := h.Now()
 			_, err := k.c.Write(cancelMessage(seq, seq))
 			done := h.Now()
@@ -392,6 +403,23 @@
 	}
 }
 
+// halfClose closes the client's side; what is open is owed its answer still, and no new attempt.
+func (k *clientConn) halfClose() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.dead || k.half {
+		return
+	}
+	k.half = true
+	k.c.(*net.TCPConn).CloseWrite()
+	now := k.s.hist.Now()
+	k.s.hist.update(func() {
+		for _, o := range k.open {
+			o.Left = now
+		}
+	})
+}
+
 // sendAgain sends, once and on a new connection, a request that crossed the close of a resting one.
 func (c *client) sendAgain(q *Request) {
 	h := c.s.hist
