A message that our own failing reads hold up is not taken for stalled

Cause: the time for a message to come in ran while our reads failed. It starts again where the connection rested meanwhile (Conn.Rests), for clients' messages and workers' answers. TestOwnReadFailuresStallNoMessage failed without.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -31,6 +31,7 @@
 	linger   bool
 	eof      bool // the peer has closed its side while written bytes wait
 	dialing  bool
+	rests    uint32  // how often it rested
 	resting  bool    // the kernel has no memory for it now
 	missed   bool    // it was not heard for a while: all of it is read at once
 	behind   bool    // what is there may have come in before the latest looks
@@ -431,6 +432,10 @@
 	return c.l.heardTo
 }
 
+// Rests counts how often the connection was left alone for a moment, as its reads or writes failed for want of the
+// machine's means: what did not come in meanwhile is not its peer's fault.
+func (c *Conn) Rests() uint32 { return c.rests }
+
 // rest leaves a connection alone for a moment, as the kernel has no memory for it.
 func (c *Conn) rest() {
 	if c.resting {
@@ -438,6 +443,7 @@
 	}
 	c.since = c.cameAfter()
 	c.resting = true
+	c.rests++
 	c.l.Stats.LocalFailures.Add(1)
 	c.want(c.interest &^ unix.EPOLLIN)
 	c.l.resting = append(c.l.resting, c)
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -18,9 +18,10 @@
 	since      float64 // when it was accepted
 	faults     int
 	reads      uint32
-	used       bool // a whole message has come in
-	part       bool // part of a message has
-	stalled    bool // and it stands still for too long
+	rests      uint32 // of the connection when its timer was started
+	used       bool   // a whole message has come in
+	part       bool   // part of a message has
+	stalled    bool   // and it stands still for too long
 	closing    bool
 	prev, next *clientConn
 }
@@ -116,6 +117,9 @@
 	}
 	why := "idle"
 	switch {
+	case c.part && c.conn.Rests() != c.rests: // our reads failed
+		c.wait(true)
+		return
 	case c.part && permit.Close(c.calls) != permit.Allowed:
 		c.stalled = true // until its answers are given
 		return
@@ -137,7 +141,7 @@
 	case c.closing:
 	case part:
 		if !c.part || !c.timer.Pending() {
-			c.part = true
+			c.part, c.rests = true, c.conn.Rests()
 			c.p.l.Start(&c.timer, partMost)
 		}
 	case c.calls > 0:
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -572,3 +572,22 @@
 		}
 	}
 }
+
+// A message that comes in slowly because this machine's reads fail is not its client's fault.
+func TestOwnReadFailuresStallNoMessage(t *testing.T) {
+	k := newFailing(t)
+	r := newRig(t, "load", newWorker(t, "w1", fine))
+	r.expect("read", "returned")
+	c := r.dial()
+	r.until("it is accepted", func() bool { return r.d.front.conns > 0 })
+	k.every = 2
+	k.Short = func(faults.Call, int, int) int { return 2 }
+	k.fail(faults.Read, unix.ENOBUFS, 1900*time.Millisecond)
+	c.send("read", "in")
+	if a, ok := c.answer(); !ok || kind(a) != "returned" {
+		t.Errorf("%+v %v", a, ok)
+	}
+	if n := r.refused("message_stalled"); n > 0 {
+		t.Errorf("%d messages count as stalled", n)
+	}
+}
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -22,6 +22,7 @@
 	ended bool
 	timer loop.Timer // idle, or an answer that stands still
 	part  bool
+	rests uint32 // of the connection when its timer was started
 }
 
 // write hands a message to the connection; it leaves at the end of the turn.
@@ -133,6 +134,7 @@
 	case c.ended || !c.up:
 	case c.part:
 		if !c.timer.Pending() {
+			c.rests = c.conn.Rests()
 			l.Start(&c.timer, partAnswer)
 		}
 	case len(c.open) > 0:
@@ -147,6 +149,10 @@
 
 func (c *workerConn) expired() {
 	why := "idle"
+	if c.part && c.conn.Rests() != c.rests { // our reads failed
+		c.awaits()
+		return
+	}
 	if c.part {
 		why = "answer_stalled"
 		c.l.s.p.refuse(why)
