The time of a message that failing reads hold up is read before the last look

The count is taken before. TestOwnReadFailuresStallNoMessage passes, twice; the whole package passes.

--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -111,13 +111,13 @@
 
 // expired ends a connection whose time is up; bytes that lie unread have come in time.
 func (c *clientConn) expired() {
-	part, reads := c.part, c.reads
+	part, reads, rests := c.part, c.reads, c.rests
 	if c.conn.Poll(); c.closing || c.reads != reads && !(part && c.part) {
 		return
 	}
 	why := "idle"
 	switch {
-	case c.part && c.conn.Rests() != c.rests: // our reads failed
+	case c.part && c.conn.Rests() != rests: // our reads failed
 		c.wait(true)
 		return
 	case c.part && permit.Close(c.calls) != permit.Allowed:
