--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -182,14 +182,11 @@
 		if err == nil || !lifecycle.Passing(err) {
 			return d, err
 		}
-		wait, more := retry.Next(time.Now())
-		if !more {
+		switch sig.Await(&retry, startFor, nil) {
+		case lifecycle.GiveUp:
 			return nil, err
-		}
-		select {
-		case <-sig.Stop:
+		case lifecycle.Stopped:
 			return nil, nil
-		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -75,6 +75,34 @@
 	return seconds(r.gap), true
 }
 
+// Await waits for the next try, at most so many seconds, and tells what came: a try, a stop, a reload where reload is not
+// nil, or that there is no try left.
+func (s *Signals) Await(r *Retry, most float64, reload <-chan os.Signal) Event {
+	wait, more := r.Next(time.Now())
+	if !more {
+		return GiveUp
+	}
+	select {
+	case <-s.Stop:
+		return Stopped
+	case <-reload:
+		return Reloaded
+	case <-time.After(min(wait, seconds(most))):
+		return Try
+	}
+}
+
+// Event is what Await tells.
+type Event uint8
+
+// The events.
+const (
+	Try Event = iota
+	GiveUp
+	Stopped
+	Reloaded
+)
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Stop is the plan of a stop, by the times of the platform in seconds from the signal.
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -139,20 +139,17 @@
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) && !lifecycle.Passing(err) {
 			return d, err
 		}
-		wait, more := retry.Next(time.Now())
-		if !more {
+		switch sig.Await(&retry, listenGap, sig.Reload) {
+		case lifecycle.GiveUp:
 			return nil, err
-		}
-		select {
-		case <-sig.Stop:
+		case lifecycle.Stopped:
 			return nil, nil
-		case <-sig.Reload:
+		case lifecycle.Reloaded:
 			if n, err := ReadFile(path); err != nil {
 				log.Error().Err(err).Msg("configuration not read; the old one stays in force")
 			} else {
 				f = n
 			}
-		case <-time.After(min(wait, time.Duration(listenGap*float64(time.Second)))):
 		}
 	}
 }
@@ -170,14 +167,11 @@
 		if lifecycle.Passing(err) {
 			retry = &open
 		}
-		wait, more := retry.Next(time.Now())
-		if !more {
+		switch sig.Await(retry, openFor, nil) {
+		case lifecycle.GiveUp:
 			return nil, err
-		}
-		select {
-		case <-sig.Stop:
+		case lifecycle.Stopped:
 			return nil, nil
-		case <-time.After(wait):
 		}
 	}
 }
