Tests: what a failing kernel does is set under its lock

The race detector found TestOwnReadFailuresStallNoMessage setting its kernel while the loop ran; no race in the program. The whole package passes under it now.

--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -27,7 +27,8 @@
 	call  faults.Call
 	errno syscall.Errno
 	until time.Time
-	every int64 // only each so many-th call fails; 0 for all
+	every int64        // only each so many-th call fails; 0 for all
+	scrap atomic.Int64 // bytes that a read or write takes at most; 0 for no bound
 	hits  atomic.Int64
 	still atomic.Int64 // ns that the next wait stands still before it looks
 	mid   atomic.Int64 // ns that the next read stands still
@@ -52,6 +53,12 @@
 		}
 		return nil
 	}
+	k.Short = func(_ faults.Call, _, n int) int {
+		if most := int(k.scrap.Load()); most > 0 {
+			return most
+		}
+		return n
+	}
 	sys.Default = k
 	t.Cleanup(func() { sys.Default = sys.Linux{} })
 	return k
@@ -64,6 +71,13 @@
 	k.call, k.errno, k.until = c, errno, time.Now().Add(span)
 }
 
+// failEach lets only each so many-th call fail.
+func (k *failing) failEach(n int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.every = n
+}
+
 // Failures of accept that pass lose nobody, in service and in a stop.
 func TestPassingFailuresOfAccept(t *testing.T) {
 	t.Run("serving", acceptFailsForAWhile)
@@ -83,7 +97,7 @@
 			k := newFailing(t)
 			r := newRig(t, "load", newWorker(t, "w1", fine))
 			r.expect("read", "returned")
-			k.every = 2
+			k.failEach(2)
 			k.fail(faults.Accept, errno, 300*time.Millisecond)
 			r.all(t, 12, "returned")
 			if k.hits.Load() == 0 {
@@ -580,8 +594,8 @@
 	r.expect("read", "returned")
 	c := r.dial()
 	r.until("it is accepted", func() bool { return r.d.front.conns > 0 })
-	k.every = 2
-	k.Short = func(faults.Call, int, int) int { return 2 }
+	k.failEach(2)
+	k.scrap.Store(2)
 	k.fail(faults.Read, unix.ENOBUFS, 1900*time.Millisecond)
 	c.send("read", "in")
 	if a, ok := c.answer(); !ok || kind(a) != "returned" {
--- a/internal/platform/sockets_test.go
+++ b/internal/platform/sockets_test.go
@@ -27,12 +27,10 @@
 			w := newWorker(t, "w1", fine)
 			r := newRig(t, "load", w)
 			r.on(func() { r.d.front.workers.connect = 1 }) // longer than the failure
-			if c.scrap > 0 {
-				k.Short = func(faults.Call, int, int) int { return c.scrap }
-			}
-			k.every = 1
+			k.scrap.Store(int64(c.scrap))
+			k.failEach(1)
 			if c.call == faults.EpollWait || c.errno == unix.EINTR && c.call != faults.Connect {
-				k.every = 2 // one that is interrupted each time is no failure that Linux has
+				k.failEach(2) // one that is interrupted each time is no failure that Linux has
 			}
 			k.fail(c.call, c.errno, span)
 			sent := r.all(t, 10, "returned")
