--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -69,13 +69,23 @@
 
 // says waits for a line that holds a text, after those waited for before.
 func (p *program) says(text string) string {
+	p.t.Helper()
+	return p.line(text, false)
+}
+
+// line waits for a line that holds a text, and takes it off; those before it stay where keep is set.
+func (p *program) line(text string, keep bool) string {
 	p.t.Helper()
 	end := time.After(10 * time.Second)
 	for {
 		p.mu.Lock()
 		for i, l := range p.lines {
 			if strings.Contains(l, text) {
-				p.lines = p.lines[i+1:]
+				if rest := p.lines[i+1:]; keep {
+					p.lines = append(p.lines[:i:i], rest...)
+				} else {
+					p.lines = rest
+				}
 				p.mu.Unlock()
 				return l
 			}
@@ -120,7 +130,8 @@
 	write(t, file, settings+more)
 	p := start(t, "serve", file)
 	var a struct{ Listen, Admin string }
-	if err := json.Unmarshal([]byte(p.says(`"message":"serving"`)), &a); err != nil {
+	// the workers may be listed before it says that it serves: two goroutines log
+	if err := json.Unmarshal([]byte(p.line(`"message":"serving"`, true)), &a); err != nil {
 		t.Fatal(err)
 	}
 	p.listen, p.admin = a.Listen, a.Admin
