--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -244,10 +244,7 @@
 			w := newWorker(t, "w1", fine)
 			r := newRig(t, "load", w)
 			r.expect("read", "returned")
-			var clients []*client
-			for range 10 {
-				clients = append(clients, r.dial())
-			}
+			clients := r.dialMany(10)
 			if c.open {
 				r.until("all are accepted", func() bool { return r.d.front.conns >= 10 })
 			}
@@ -276,6 +273,15 @@
 	}
 }
 
+// dialMany opens so many connections.
+func (r *rig) dialMany(n int) (clients []*client) {
+	r.t.Helper()
+	for range n {
+		clients = append(clients, r.dial())
+	}
+	return clients
+}
+
 // checkBudgets looks at the deadlines passed on.
 func checkBudgets(t *testing.T, list []seen, most time.Duration) {
 	t.Helper()
@@ -323,10 +329,7 @@
 			w := newWorker(t, "w1", fine)
 			r := newRig(t, "load", w)
 			r.expect("read", "returned")
-			var clients []*client
-			for range 10 {
-				clients = append(clients, r.dial())
-			}
+			clients := r.dialMany(10)
 			r.until("all are accepted", func() bool { return r.d.front.conns >= 10 })
 			c.still(k, r)
 			time.Sleep(30 * time.Millisecond)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -308,7 +309,9 @@
 		return
 	}
 	time.Sleep(time.Duration((t.To - t.From) * 1e9))
-	unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil)
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil); err != nil && !errors.Is(err, unix.ESRCH) { // the process may have ended
+		p.s.add(Find{Rule: "harness", What: fmt.Sprintf("dispatcher %d keeps a low limit on descriptors: %v", p.index, err), At: p.s.hist.Now()})
+	}
 }
 
 // said returns the lines of the log that hold a text.
