--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -45,6 +45,7 @@
 	address string
 	path    string // of the configuration
 	log     string
+	held    int // descriptor that keeps the port
 	logAt   int // address of the change log in the configuration
 
 	mu      sync.Mutex
@@ -67,17 +68,37 @@
 }
 
 func newProcess(s *stage, index int) (*process, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	held, address, err := holdPort()
 	if err != nil {
 		return nil, err
 	}
-	defer l.Close()
-	p := &process{s: s, index: index, address: l.Addr().String()}
+	p := &process{s: s, index: index, address: address, held: held}
 	p.path = filepath.Join(s.dir, fmt.Sprintf("d%d.json", index))
 	p.log = filepath.Join(s.dir, fmt.Sprintf("d%d.log", index))
 	return p, nil
 }
 
+// holdPort takes a free port that only who asks for it by number gets: a bound socket that does not listen keeps it, so
+// that neither another play nor a connection of this one takes it while no dispatcher listens there.
+func holdPort() (fd int, address string, err error) {
+	fd, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, "", err
+	}
+	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	var at unix.Sockaddr
+	if err == nil {
+		at, err = unix.Getsockname(fd)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return -1, "", err
+	}
+	return fd, net.JoinHostPort("127.0.0.1", strconv.Itoa(at.(*unix.SockaddrInet4).Port)), nil
+}
+
 // configuration is the file's text.
 func (p *process) configuration() []byte {
 	s := p.s.plan.Site
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mastchute/internal/sys/faults"
 )
 
@@ -177,6 +179,7 @@
 		if running {
 			p.kill()
 		}
+		unix.Close(p.held)
 	}
 	for _, w := range s.workers {
 		w.close()
