Status shows rejections beside own attempts, and the length of backoffs

No behaviour changes. Nothing told a worker that is full of peers' work, where a pause is the only answer, from one that is full of this dispatcher's own. /status now counts, for each worker, rejections, those with own attempts in flight there, and the time it was backed off.

--- a/control/outcome.go
+++ b/control/outcome.go
@@ -127,6 +127,7 @@
 		ended.rejection |= rejectedInOutage
 	}
 	until := scope.recordRejection(d.now)
+	ended.worker.countRejection(d.now, until)
 	if ended.loading && req.model.preferred == 1 {
 		ended.worker.loadBackoffUntil = until
 	} else {
--- a/control/view.go
+++ b/control/view.go
@@ -10,6 +10,10 @@
 	PendingLoads     Seconds // load times of the loads that own attempts started
 	FailureRate      float64 // exponential average of the fraction of attempts that failed for reasons of the worker
 	Ejected          bool
+	Rejections       uint64    // attempts that the worker rejected for want of capacity
+	RejectedBeside   uint64    // of those, the ones beside which own attempts were in flight there
+	BackoffTotal     Seconds   // length of the backoffs after rejections
+	BackoffLeft      Seconds   // until the end of the latest backoff: of the worker, of one traffic class, or of loads
 	LoadedModels     []ModelID // models assumed to be loaded now
 	ReportedInFlight float64   // requests in flight at the worker by its load reports
 }
@@ -48,6 +52,10 @@
 		FailureRate:      w.outlier.failureRate,
 		Ejected:          w.outlier.ejected,
 		ReportedInFlight: w.report.inFlight,
+		Rejections:       w.rejections.total,
+		RejectedBeside:   w.rejections.besideOwn,
+		BackoffTotal:     w.rejections.backoffTotal,
+		BackoffLeft:      math.Max(0, w.backoffUntil()-d.now),
 	}
 	for id, m := range d.models.byID {
 		if m.replicaIfKnown(w).isLoaded(d.now) {
--- a/control/worker.go
+++ b/control/worker.go
@@ -16,10 +16,36 @@
 	outlierByClass   []outlierDetector // by traffic class
 	nextWarmupSlotAt Seconds           // when the slow start budget allows the next attempt, -Inf if no send slot is drawn
 	loadBackoffUntil Seconds           // end of the backoff after the worker rejected a load
+	rejections       rejectionCounts
 	score            placementScore
 	lease            *workerLease // apart: placements visit all workers, and look at it only while discovery is out of reach
 }
 
+// rejectionCounts counts the rejections of a worker, and the backoffs that followed, for operators.
+type rejectionCounts struct {
+	total        uint64  // attempts that the worker rejected for want of capacity
+	besideOwn    uint64  // of those, the ones beside which other own attempts were in flight at the worker
+	backoffTotal Seconds // length of all backoffs, one that extends another counted from the end of that
+}
+
+// countRejection counts a rejection of an attempt that is no longer in flight, and the backoff after it.
+func (w *worker) countRejection(now, backoffUntil Seconds) {
+	w.rejections.total++
+	if w.ledger.inFlight > 0 {
+		w.rejections.besideOwn++
+	}
+	w.rejections.backoffTotal += backoffUntil - math.Max(now, math.Min(w.backoffUntil(), backoffUntil))
+}
+
+// backoffUntil returns when the latest backoff after rejections ends: of the worker, of one traffic class there, or of loads.
+func (w *worker) backoffUntil() Seconds {
+	latest := math.Max(w.outlier.backoffUntil, w.loadBackoffUntil)
+	for i := range w.outlierByClass {
+		latest = math.Max(latest, w.outlierByClass[i].backoffUntil)
+	}
+	return latest
+}
+
 // placementScore is the worker's result in the latest search for a replica.
 type placementScore struct {
 	cost              Seconds // time until the request would be served, +Inf if it can't be sent here
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -44,6 +44,10 @@
 	Ejected          bool     `json:"ejected"`
 	LeaseLeft        *float64 `json:"lease_left_s,omitempty"` // until the end of its own lease, negative after it, if it had any
 	ReportedInFlight float64  `json:"reported_inflight"`
+	Rejections       uint64   `json:"rejections"`            // attempts that it rejected for want of capacity
+	RejectedBeside   uint64   `json:"rejections_beside_own"` // of those, the ones beside which own attempts were in flight there
+	BackoffTotal     float64  `json:"backoff_total_s"`       // length of the backoffs after rejections
+	BackoffLeft      float64  `json:"backoff_left_s"`        // until the end of the latest one
 	WarmModels       []string `json:"warm"`
 
 	// Former keys, with the same values; they go in the next version.
@@ -141,6 +145,10 @@
 		FailureRate:      view.FailureRate,
 		Ejected:          view.Ejected,
 		ReportedInFlight: view.ReportedInFlight,
+		Rejections:       view.Rejections,
+		RejectedBeside:   view.RejectedBeside,
+		BackoffTotal:     view.BackoffTotal,
+		BackoffLeft:      view.BackoffLeft,
 		WarmModels:       []string{},
 	}
 	s.DeprecatedTold = s.Announced
