A worker that rejects for want of room gets what it has room for, and no blind pause

What callers saw: requests shed while workers that queue nothing stood idle; after an overload service did not come back.

Cause: each rejection of a burst doubled the backoff (0.05 to 0.5 s for one event), a success did not end it, and as it ended all that was held was sent at once, the next burst. Two facts were taken for one: a rejection beside own attempts says how many the worker has room for, and the end of one of them shows that there is room; only with nothing in flight a time has to be guessed.

Change: control/concurrency.go learns a limit from rejections, raised by successes and time, not lowered below what worked within five run times nor for a class that is throttled. A success ends the backoff; a load that succeeds ends the pause of loads. Why it works: a full worker is sent another attempt as one ends, and no more than fit.

--- /dev/null
+++ b/control/concurrency_test.go
@@ -0,0 +1,96 @@
+package control
+
+import "testing"
+
+func TestConcurrencyLimitFollowsABurstOfRejections(t *testing.T) {
+	var l concurrencyLimiter
+	if !l.admits(1, 1000) {
+		t.Error("limited before any rejection")
+	}
+	for others := 7.0; others >= 2; others-- { // eight at once, two run, six are rejected
+		l.recordRejection(1, others)
+	}
+	if !l.admits(1, 1) || l.admits(1, 2) {
+		t.Errorf("limit %g after a burst beside two that run, want 2", l.limitAt(1))
+	}
+	l.recordRejection(1, 0)
+	if !l.admits(1, 0) || l.admits(1, 1) {
+		t.Errorf("limit %g after a rejection with nothing in flight, want 1", l.limitAt(1))
+	}
+}
+
+// TestConcurrencyLimitIsRaised checks that a limit that was learned does not stay where it is.
+func TestConcurrencyLimitIsRaised(t *testing.T) {
+	var l concurrencyLimiter
+	l.recordRejection(1, 2)
+	if !l.admits(1+1/concurrencyRecovery, 2) {
+		t.Error("not raised by time")
+	}
+	for range int(1/concurrencyIncrease) + 1 {
+		l.recordSuccess(1, 0.1, 1)
+	}
+	if !l.admits(1, 2) {
+		t.Error("not raised by successes")
+	}
+	l.recordRejection(1, 5)
+	if l.admits(1, 4) {
+		t.Error("raised by a rejection beside more than the limit")
+	}
+}
+
+// TestProvenConcurrencyIsKept checks that a rejection is not put down to a number of attempts that worked a moment ago.
+func TestProvenConcurrencyIsKept(t *testing.T) {
+	const runTime = 0.1
+	var l concurrencyLimiter
+	l.recordSuccess(1, runTime, 6)
+	l.recordSuccess(1, runTime, 2)
+	l.recordRejection(1.1, 3)
+	if !l.admits(1.1, 5) {
+		t.Errorf("limit %g though six in flight worked a moment ago", l.limitAt(1.1))
+	}
+	l.recordRejection(1.01+provenRunTimes*runTime, 3)
+	if l.admits(1.01+provenRunTimes*runTime, 3) {
+		t.Error("an old success still counts")
+	}
+}
+
+// TestThrottledClassLowersTheLimitOnce checks that a traffic class that is rejected time after time, while another succeeds,
+// takes no room from the others.
+func TestThrottledClassLowersTheLimitOnce(t *testing.T) {
+	d := New(1, Settings{Groups: []GroupSettings{{}, {}}}, nil)
+	d.SetNow(1)
+	d.UpdateWorkers(ListSnapshot, 1, []WorkerInfo{{ID: 1, State: Ready}})
+	host := d.workers.all[0]
+	throttled := &host.outlierByClass[1]
+	host.ledger.inFlight = 4
+	d.limitOrPause(host, throttled)
+	host.ledger.inFlight = 2
+	d.limitOrPause(host, throttled)
+	if host.concurrency.limit != 4 {
+		t.Errorf("limit %g, want 4 as after the first rejection", host.concurrency.limit)
+	}
+	if !throttled.backingOff(1) || host.outlier.backingOff(1) {
+		t.Error("want the class to pause, and not the worker")
+	}
+}
+
+// TestSuccessEndsThePauseOfAFullWorker checks that a worker that runs own attempts is left alone no longer than until one of
+// them succeeds, however many were rejected beside them, and then receives no more than it has room for.
+func TestSuccessEndsThePauseOfAFullWorker(t *testing.T) {
+	d := New(1, Settings{}, nil)
+	d.SetNow(1)
+	d.UpdateWorkers(ListSnapshot, 1, []WorkerInfo{{ID: 1, State: Ready}})
+	host := d.workers.all[0]
+	for host.ledger.inFlight = 7; host.ledger.inFlight >= 2; host.ledger.inFlight-- {
+		d.limitOrPause(host, &host.outlier)
+	}
+	host.ledger.inFlight = 2
+	if !host.outlier.backingOff(1) || d.hasRoom(host) {
+		t.Error("want a pause and a limit of two")
+	}
+	host.ledger.inFlight = 1
+	d.recordSuccess(&host.outlier)
+	if host.outlier.backingOff(1) || !d.hasRoom(host) {
+		t.Error("a success does not make room for one attempt")
+	}
+}
--- a/control/ledger.go
+++ b/control/ledger.go
@@ -56,6 +56,12 @@
 	return l.abandoned * math.Exp((l.abandonedAt-now)/math.Max(runTime, minDuration))
 }
 
+// occupancy returns how many own attempts may take room at the worker: those in flight, whether they wait for a load or not,
+// and abandoned ones.
+func (l *workLedger) occupancy(now, runTime Seconds) float64 {
+	return float64(l.inFlight) + l.stillAbandoned(now, runTime)
+}
+
 // concurrency returns how many own attempts the worker may be running: those in flight that do not wait for a load, and
 // abandoned ones.
 func (l *workLedger) concurrency(now, runTime Seconds) float64 {
--- a/control/outcome.go
+++ b/control/outcome.go
@@ -82,6 +82,10 @@
 // attemptSucceeded updates the estimates by a successful attempt, and releases the requests held for its replica.
 func (d *Dispatcher) attemptSucceeded(req *request, ended *attempt, target *replica, result AttemptResult) {
 	d.learn(req, ended, result)
+	ended.worker.concurrency.recordSuccess(d.now, d.runTime, float64(ended.occupancy))
+	if result.ModelState == LoadStarted {
+		ended.worker.loadBackoffUntil = 0 // there is room for loads again
+	}
 	d.recordSuccess(&ended.worker.outlier)
 	d.recordSuccess(&ended.worker.outlierByClass[req.trafficClass])
 	if ended.sentAt > ended.worker.StartedAt {
@@ -115,24 +119,38 @@
 	}
 }
 
-// backOff pauses new requests to the scope that rejected an attempt, the worker or one traffic class there. If the attempt
-// needed a load, it pauses loads on the worker instead: the worker lacks memory or performs too many loads, and may still
-// serve its loaded replicas.
+// backOff keeps new requests from a worker that rejected an attempt for want of capacity. If the attempt needed a load, it
+// pauses loads on the worker: the worker lacks memory or performs too many loads, and may still serve its loaded replicas.
 func (d *Dispatcher) backOff(req *request, ended *attempt) {
-	scope := ended.worker.failureScope(req.trafficClass, ended.sentAt-failureScopeWindow)
+	host := ended.worker
+	scope := host.failureScope(req.trafficClass, ended.sentAt-failureScopeWindow)
 	if d.sparseTraffic {
 		ended.rejection |= rejectedSparse
 	}
 	if !d.listLeaseHolds() {
 		ended.rejection |= rejectedInOutage
 	}
-	until := scope.recordRejection(d.now)
-	ended.worker.countRejection(d.now, until)
 	if ended.loading && req.model.preferred == 1 {
-		ended.worker.loadBackoffUntil = until
-	} else {
-		scope.backoffUntil = until
+		until := scope.recordRejection(d.now)
+		host.countRejection(d.now, until)
+		host.loadBackoffUntil = until
+		return
 	}
+	d.limitOrPause(host, scope)
+}
+
+// limitOrPause follows a rejection for which a scope is blamed, the worker or one traffic class there. It lowers the
+// worker's concurrency limit, but not for a traffic class that is rejected time after time while others succeed: that one is
+// throttled. It pauses the scope until a success, which shows that there is room again, or for a time that doubles.
+func (d *Dispatcher) limitOrPause(host *worker, scope *outlierDetector) {
+	others := host.ledger.occupancy(d.now, d.runTime)
+	blamesWorker := scope == &host.outlier
+	if blamesWorker || scope.rejections == 0 {
+		host.concurrency.recordRejection(d.now, others)
+	}
+	until := scope.recordRejection(d.now)
+	host.countRejection(d.now, until)
+	scope.backoffUntil = math.Max(scope.backoffUntil, until)
 }
 
 // continueAfterFailure finishes a request that has its final response, and retries one without an attempt in flight.
--- a/control/outlier.go
+++ b/control/outlier.go
@@ -32,10 +32,11 @@
 	o.responseSucceeded = succeeded
 }
 
-// recordSuccess lowers the failure rate and, while the scope is ejected, doubles the recovery ramp.
+// recordSuccess lowers the failure rate, ends a backoff and, while the scope is ejected, doubles the recovery ramp.
 func (o *outlierDetector) recordSuccess() {
 	o.failureRate -= failureSmoothing * o.failureRate
 	o.rejections = 0
+	o.backoffUntil = 0
 	o.rampRate *= 2
 	if o.ejected && o.rampRate >= finalRampRate {
 		o.ejected = false
--- a/control/placement.go
+++ b/control/placement.go
@@ -101,7 +101,12 @@
 
 // hasCapacity reports whether a worker is under its concurrency limit for a request.
 func (d *Dispatcher) hasCapacity(req *request, target *worker) bool {
-	return target.ledger.concurrency(d.now, d.runTime) < d.concurrencyLimit(req)
+	return target.ledger.concurrency(d.now, d.runTime) < d.concurrencyLimit(req) && d.hasRoom(target)
+}
+
+// hasRoom reports whether another attempt fits in the concurrency limit that was learned from the rejections of a worker.
+func (d *Dispatcher) hasRoom(target *worker) bool {
+	return target.concurrency.admits(d.now, target.ledger.occupancy(d.now, d.runTime))
 }
 
 // concurrencyLimit returns how many own attempts may be in flight at a worker when a request is sent there. It is lower for
@@ -284,7 +289,7 @@
 			}
 			rank |= rankLoaded
 		}
-		if candidate.ledger.concurrency(d.now, d.runTime) < limit {
+		if candidate.ledger.concurrency(d.now, d.runTime) < limit && d.hasRoom(candidate) {
 			rank |= rankHasCapacity
 		}
 		if best == nil || rank > highest {
@@ -339,6 +344,7 @@
 	d.outbox.addRequest(req)
 	d.updateQueuedWork(host)
 	host.ledger.reserve(added)
+	added.occupancy = int32(host.ledger.inFlight)
 	target.reserve()
 	d.chargeAdmission(req, host)
 }
--- a/control/request.go
+++ b/control/request.go
@@ -28,6 +28,7 @@
 	expected     Seconds // time until the response, as expected when it was scheduled
 	runTime      Seconds // what the ledger reserves for it
 	cohortNumber uint32  // number of the replica's cohort that it joined
+	occupancy    int32   // own attempts in flight at the worker when it was scheduled, with itself
 	state        attemptState
 	rejection    rejection
 	hedged       bool // a hedged request was considered, whether or not one was sent
--- a/control/view.go
+++ b/control/view.go
@@ -12,6 +12,7 @@
 	Ejected          bool
 	Rejections       uint64    // attempts that the worker rejected for want of capacity
 	RejectedBeside   uint64    // of those, the ones beside which own attempts were in flight there
+	ConcurrencyLimit float64   // own attempts in flight that its rejections leave room for, +Inf if they showed no limit
 	BackoffTotal     Seconds   // length of the backoffs after rejections
 	BackoffLeft      Seconds   // until the end of the latest backoff: of the worker, of one traffic class, or of loads
 	LoadedModels     []ModelID // models assumed to be loaded now
@@ -54,6 +55,7 @@
 		ReportedInFlight: w.report.inFlight,
 		Rejections:       w.rejections.total,
 		RejectedBeside:   w.rejections.besideOwn,
+		ConcurrencyLimit: w.concurrency.limitAt(d.now),
 		BackoffTotal:     w.rejections.backoffTotal,
 		BackoffLeft:      math.Max(0, w.backoffUntil()-d.now),
 	}
--- a/control/worker.go
+++ b/control/worker.go
@@ -17,6 +17,7 @@
 	nextWarmupSlotAt Seconds           // when the slow start budget allows the next attempt, -Inf if no send slot is drawn
 	loadBackoffUntil Seconds           // end of the backoff after the worker rejected a load
 	rejections       rejectionCounts
+	concurrency      concurrencyLimiter
 	score            placementScore
 	lease            *workerLease // apart: placements visit all workers, and look at it only while discovery is out of reach
 }
@@ -59,6 +60,7 @@
 	clear(w.outlierByClass)
 	w.outlier = outlierDetector{}
 	w.nextWarmupSlotAt = math.Inf(-1)
+	w.concurrency = concurrencyLimiter{}
 	w.ledger.abandoned = 0
 }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "mastchute/control"
+import (
+	"math"
+
+	"mastchute/control"
+)
 
 const maxListedRequests = 1000 // requests in flight that a status lists
 
@@ -44,10 +48,11 @@
 	Ejected          bool     `json:"ejected"`
 	LeaseLeft        *float64 `json:"lease_left_s,omitempty"` // until the end of its own lease, negative after it, if it had any
 	ReportedInFlight float64  `json:"reported_inflight"`
-	Rejections       uint64   `json:"rejections"`            // attempts that it rejected for want of capacity
-	RejectedBeside   uint64   `json:"rejections_beside_own"` // of those, the ones beside which own attempts were in flight there
-	BackoffTotal     float64  `json:"backoff_total_s"`       // length of the backoffs after rejections
-	BackoffLeft      float64  `json:"backoff_left_s"`        // until the end of the latest one
+	Rejections       uint64   `json:"rejections"`                  // attempts that it rejected for want of capacity
+	RejectedBeside   uint64   `json:"rejections_beside_own"`       // of those, the ones beside which own attempts were in flight there
+	ConcurrencyLimit *float64 `json:"concurrency_limit,omitempty"` // own attempts in flight that its rejections leave room for, if they showed a limit
+	BackoffTotal     float64  `json:"backoff_total_s"`             // length of the backoffs after rejections
+	BackoffLeft      float64  `json:"backoff_left_s"`              // until the end of the latest one
 	WarmModels       []string `json:"warm"`
 
 	// Former keys, with the same values; they go in the next version.
@@ -155,6 +160,9 @@
 	s.DeprecatedOut = s.InFlight
 	s.DeprecatedBad = s.FailureRate
 	s.DeprecatedAside = s.Ejected
+	if !math.IsInf(view.ConcurrencyLimit, 1) {
+		s.ConcurrencyLimit = &view.ConcurrencyLimit
+	}
 	if until := w.lease.Until(); until > 0 {
 		left := until - g.Loop.Now()
 		s.LeaseLeft = &left
