An answer soon after SIGHUP does not renew the list's lease past the term of the order

Cause: Confirm forgot the order with the first answer after it. Evidence: the first send past the grace came 4 s + 1 s + slack after SIGHUP, and the lease lasted until 7 s after the answer.

Change: a question asked before the end of an order's term does not renew the lease beyond it. The last poll before that end is cut short and the next one asks for no wait, so that the lease does not lapse. Why it works: from that end on only newer news counts.

--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -27,6 +27,10 @@
 	g.announceListLease()
 }
 
+// ListConfirmationDueAt returns a time from which on discovery has to be asked for the lease of the endpoint list to be renewed
+// in full, -Inf if any question does.
+func (g *Gateway) ListConfirmationDueAt() float64 { return g.listLease.ConfirmationDueAt() }
+
 // announceListLease notifies the control module of the lease of the endpoint list, and times its end.
 func (g *Gateway) announceListLease() {
 	if !g.listLease.Limited() {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,9 +40,10 @@
 type List struct {
 	limited     bool
 	terms       Terms
-	confirmedAt float64 // the list was complete then
-	notifiedBy  float64 // from then on, a change that the list does not have may count as notified
-	reloadAt    float64 // the latest order to read the configuration that no answer has followed, +Inf for none
+	confirmedAt float64   // the list was complete then
+	notifiedBy  float64   // from then on, a change that the list does not have may count as notified
+	reloadAt    float64   // the latest order to read the configuration that no answer has followed, +Inf for none
+	reloadsDue  []float64 // when what discovery holds counts as notified because of an order, for those that no question has followed, in order
 }
 
 // NewList returns the lease of a list that was complete at a time, as a configuration has it. Discovery may have been out
@@ -64,6 +65,12 @@
 	l.reloadAt = math.Inf(1)
 	l.confirmedAt = askedAt
 	l.notifiedBy = askedAt + l.terms.Silence
+	for len(l.reloadsDue) > 0 && l.reloadsDue[0] <= askedAt {
+		l.reloadsDue = l.reloadsDue[1:]
+	}
+	if len(l.reloadsDue) > 0 {
+		l.notifiedBy = math.Min(l.notifiedBy, l.reloadsDue[0])
+	}
 }
 
 // BreakOff shortens the lease after an answer that broke off at a time: the rest of it may have been a change.
@@ -72,10 +79,25 @@
 }
 
 // OrderReload shortens the lease after an order to read the configuration: discovery may have moved, and the address known
-// so far tells nothing more.
+// so far tells nothing more. An answer in time does not undo that: what comes into discovery after it counts as notified
+// then as well.
 func (l *List) OrderReload(at float64) {
 	l.reloadAt = at
-	l.notifiedBy = math.Min(l.notifiedBy, at+l.terms.Reload)
+	due := at + l.terms.Reload
+	l.notifiedBy = math.Min(l.notifiedBy, due)
+	if n := len(l.reloadsDue); n >= 2 && l.reloadsDue[n-1] <= at { // past dues all ask for the same: a question from now on
+		l.reloadsDue = l.reloadsDue[:1]
+	}
+	l.reloadsDue = append(l.reloadsDue, due)
+}
+
+// ConfirmationDueAt returns a time from which on a question has to be asked for the lease to be renewed in full, -Inf if any
+// question does.
+func (l *List) ConfirmationDueAt() float64 {
+	if len(l.reloadsDue) == 0 {
+		return math.Inf(-1)
+	}
+	return l.reloadsDue[0]
 }
 
 // Limited reports whether the lease ends at some time.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -24,9 +24,20 @@
 		{"ordered to reload", func(l *List) { l.Confirm(20, true); l.OrderReload(21) }, 25 + hold},
 		{"a reload in an outage renews nothing", func(l *List) { l.Confirm(20, true); l.OrderReload(26) }, 27 + hold},
 		{"the previous address answers after the order", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(22, false) }, 25 + hold},
-		{"the previous address was not left", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(23.5, false) }, 30.5 + hold},
-		{"the address that was read answers", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(21.2, true) }, 28.2 + hold},
-		{"ordered again", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(21.2, true); l.OrderReload(22) }, 26 + hold},
+		{"the previous address was not left", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(23.5, false) }, 25 + hold},
+		{"it answers again later", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(23.5, false); l.Confirm(25, false) }, 32 + hold},
+		{"the address that was read answers", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(21.2, true) }, 25 + hold},
+		{"it answers again later, too", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(21.2, true); l.Confirm(25.1, true) }, 32.1 + hold},
+		{"ordered again", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.Confirm(21.2, true); l.OrderReload(22) }, 25 + hold},
+		{"ordered again, and confirmed between", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.OrderReload(22); l.Confirm(25.5, true) }, 26 + hold},
+		{"ordered again, and confirmed after that", func(l *List) { l.Confirm(20, true); l.OrderReload(21); l.OrderReload(22); l.Confirm(26, true) }, 33 + hold},
+		{"ordered in an outage again and again", func(l *List) {
+			l.Confirm(20, true)
+			for at := 21.0; at < 40; at++ {
+				l.OrderReload(at)
+			}
+			l.Confirm(41.5, true)
+		}, 42 + hold},
 	} {
 		l := NewList(terms, 10)
 		c.change(&l)
--- a/internal/platform/lease_test.go
+++ b/internal/platform/lease_test.go
@@ -90,6 +90,26 @@
 	h.waitFor("the address that was read answers", func() bool { return h.listLeaseLeft() > wholeLease-0.5 })
 }
 
+// After SIGHUP the list is confirmed in time by a question asked when all that the change log holds counts as told, however
+// early the new address answered, so that the lease does not end while the change log is in reach.
+func TestReloadIsConfirmedWhenItsTermEnds(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "load", newFakeWorker(t, "w1", respondServed))
+	h.waitFor("the first poll is answered", func() bool { return h.listLeaseLeft() > wholeLease-0.5 })
+	h.onLoop(func() {
+		h.dispatcher.OrderReload()
+		h.dispatcher.Reload(h.config)
+	})
+	time.Sleep(200 * time.Millisecond)
+	h.expectLeaseLeft("the new address has answered", reloadLease-0.2)
+	h.waitFor("the lease is renewed, and did not end before", func() bool {
+		if h.dispatcher.Gateway.ListLeaseExpired() {
+			t.Error("the lease has ended")
+		}
+		return h.listLeaseLeft() > wholeLease-0.5
+	})
+}
+
 // At a start while the change log is down, the workers in the file are relied on for the grace only. After that each is
 // asked before it receives work, and one that drains receives none.
 func TestStartWhileTheChangeLogIsDown(t *testing.T) {
--- a/internal/platform/watch_client.go
+++ b/internal/platform/watch_client.go
@@ -165,12 +165,17 @@
 }
 
 // nextWait returns for how long the next poll asks the change log to wait. After a failure the first answer is to confirm
-// the list at once, whether or not there are events.
+// the list at once, whether or not there are events; so is the first one asked from when the list's lease requires that,
+// before which the poll ends.
 func (w *watchClient) nextWait() float64 {
 	if w.backoff > 0 {
 		return 0
 	}
-	return longPollWait
+	dueIn := w.gateway.ListConfirmationDueAt() - w.loop.Now()
+	if math.IsInf(dueIn, -1) {
+		return longPollWait
+	}
+	return min(max(dueIn, 0), longPollWait)
 }
 
 // schedulePoll schedules the next poll after one that has ended.
