--- a/control/concurrency_test.go
+++ b/control/concurrency_test.go
@@ -88,6 +88,12 @@
 	if !host.outlier.backingOff(1) || d.hasRoom(host) {
 		t.Error("want a pause and a limit of two")
 	}
+	views, _ := d.View(0)
+	view := views[0]
+	if view.Rejections != 6 || view.RejectedBeside != 6 || view.ConcurrencyLimit != 2 || view.BackoffLeft != maxRejectBackoff ||
+		view.BackoffTotal != maxRejectBackoff {
+		t.Errorf("operators see %+v", view)
+	}
 	host.ledger.inFlight = 1
 	d.recordSuccess(&host.outlier)
 	if host.outlier.backingOff(1) || !d.hasRoom(host) {
