Soak: a client does not send again what a kill of its dispatcher closed

Trace: the request reached a worker at 4.128 s and ran, SIGKILL hit dispatcher 9 at 4.14 s (plan: kill at 9, 4.14 to 4.19 s), the client saw its idle connection close within 50 ms, took it for one that crossed the request, and sent that again to the new process at 4.178 s. No dispatcher can keep that promise after SIGKILL; the checker excuses what a kill closes, and the emulated client now does not repeat it. Closes without a kill are sent again as before.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -203,11 +203,13 @@
 	}
 }
 
-// check reports whether a request ended, and whether it crossed the close of an idle connection.
+// check reports whether a request ended, and whether it crossed the close of an idle connection. A kill closes connections
+// whatever is in flight on them: the request may have run.
 func (c *client) check(req *request) (ended, crossedClose bool) {
 	c.run.history.update(func() {
 		ended = req.Outcome != pending
-		crossedClose = req.Outcome == Closed && req.WasIdle && req.EndedAt-req.SentAt <= resendWindow
+		crossedClose = req.Outcome == Closed && req.WasIdle && req.EndedAt-req.SentAt <= resendWindow &&
+			!c.dispatcher.killedBetween(req.SentAt, req.EndedAt)
 	})
 	return ended, crossedClose
 }
