Soak: system calls and traffic of a failed run can be traced

Cause: a request that a stop left unanswered could not be followed: the logs do not say when its bytes came, what each read returned and what closed its connection. Close joins the interface to the kernel, so that it is seen.

--- a/internal/cli/lab_soak.go
+++ b/internal/cli/lab_soak.go
@@ -26,6 +26,7 @@
 	Outage        bool     `help:"Inject outages of discovery during which workers drain but stay up. The duration of a run depends on its outage."`
 	Shrink        bool     `help:"Reduce the faults of a failed run to those that are needed to violate the guarantee."`
 	Coverage      bool     `help:"Print how many requests were exposed to each kind of fault, and to each pair of kinds."`
+	Trace         bool     `help:"Keep the system calls of each dispatcher and the recorded traffic of a failed run, too. Needs --shims."`
 	Keep          bool     `help:"Keep the configurations and logs of a failed run."`
 }
 
@@ -99,7 +100,7 @@
 		fmt.Printf("seed %d: %+v\n", plan.Seed, plan.Site)
 		printFaults(plan)
 	}
-	result, err := soak.Run(ctx, plan, soak.Options{Binary: c.Binary, Keep: c.Keep})
+	result, err := soak.Run(ctx, plan, soak.Options{Binary: c.Binary, Keep: c.Keep || c.Trace, Trace: c.Trace && c.SyscallFaults})
 	if err != nil {
 		return nil, err
 	}
@@ -149,7 +150,7 @@
 		replay += " --shims --binary " + c.Binary
 	}
 	fmt.Println("  replay:", replay)
-	if c.Keep {
+	if c.Keep || c.Trace {
 		fmt.Println("  logs:", result.Dir)
 	}
 }
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -76,6 +76,6 @@
 	case nil, unix.EINPROGRESS, unix.EINTR: // an interrupted connect continues in the kernel
 		return fd, nil
 	}
-	unix.Close(fd)
+	l.kernel.Close(fd)
 	return -1, err
 }
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -44,7 +44,7 @@
 		err = l.kernel.Listen(fd, listenBacklog)
 	}
 	if err != nil {
-		unix.Close(fd)
+		l.kernel.Close(fd)
 		return nil, fmt.Errorf("listen %s: %w", at, err)
 	}
 	listener := &Listener{loop: l, fd: fd, addr: at, newHandler: newHandler, knownEmptyAt: l.now}
@@ -207,7 +207,7 @@
 	c.markUnread(ln.knownEmptyAt) // its first bytes may have arrived at any time since
 	c.handler = ln.newHandler(c)
 	if c.handler == nil {
-		unix.Close(fd)
+		l.kernel.Close(fd)
 		return
 	}
 	l.connCount++
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -170,7 +170,7 @@
 func (l *Loop) Close() {
 	for fd, r := range l.descriptors {
 		if r.conn != nil || r.listener != nil {
-			unix.Close(fd)
+			l.kernel.Close(fd)
 		}
 	}
 	for _, fd := range []int{l.epollFD, l.wakeFD, l.reserveFD} {
--- a/internal/eventloop/registration.go
+++ b/internal/eventloop/registration.go
@@ -45,7 +45,7 @@
 // unregister closes a descriptor; the kernel then removes it from epoll.
 func (l *Loop) unregister(fd int) {
 	l.descriptors[fd] = registration{}
-	unix.Close(fd)
+	l.kernel.Close(fd)
 	l.restoreReserve()
 }
 
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -145,10 +145,14 @@
 	cmd := exec.Command(d.run.binary, "platform")
 	cmd.Env = append(slices.Concat(os.Environ(), d.run.env), "LB_CONFIG="+d.configFile, "LB_NAME=n"+strconv.Itoa(d.index), "LB_LISTEN="+d.address)
 	spans := d.run.plan.syscallFaults(d.index)
-	if len(spans) == 0 {
+	if len(spans) == 0 && !d.run.trace {
 		return cmd, nil
 	}
-	plan, err := json.Marshal(faults.Plan{Origin: d.run.clockOrigin, Seed: d.run.plan.Seed + uint64(d.index), Faults: spans})
+	faultPlan := faults.Plan{Origin: d.run.clockOrigin, Seed: d.run.plan.Seed + uint64(d.index), Faults: spans}
+	if d.run.trace {
+		faultPlan.Trace = filepath.Join(d.run.dir, fmt.Sprintf("d%d.trace", d.index))
+	}
+	plan, err := json.Marshal(faultPlan)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"encoding/json"
+	"os"
 	"sync"
 	"time"
 )
@@ -127,6 +129,20 @@
 	h.Unexpected = append(h.Unexpected, text)
 }
 
+// historyFile is the name of the file with the recorded traffic of a traced run.
+const historyFile = "history.json"
+
+// writeTo writes the recorded traffic to a file, as JSON.
+func (h *history) writeTo(path string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	text, err := json.MarshalIndent(h, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
+
 // update changes records under the history's lock.
 func (h *history) update(change func()) {
 	h.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"sort"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	Env    []string // added to the environment of its processes
 	Dir    string   // for configurations and logs; empty for a temporary directory
 	Keep   bool     // keep the temporary directory if there are violations
+	Trace  bool     // write the system calls of each dispatcher and the recorded traffic to Dir; needs a build with -tags faults
 }
 
 // Result is the result of a run.
@@ -52,6 +54,7 @@
 	binary      string
 	env         []string
 	dir         string
+	trace       bool
 	clockOrigin int64 // start of the plan on the monotonic clock that the dispatchers read, ns
 	history     *history
 	changeLog   *changeLog
@@ -74,7 +77,7 @@
 			return nil, err
 		}
 	}
-	r := &runner{plan: p, binary: o.Binary, env: o.Env, dir: dir, stopped: make(chan struct{}), harnessDelays: map[int]float64{}, history: newHistory(),
+	r := &runner{plan: p, binary: o.Binary, env: o.Env, dir: dir, trace: o.Trace, stopped: make(chan struct{}), harnessDelays: map[int]float64{}, history: newHistory(),
 		clockOrigin: faults.MonotonicNow()}
 	defer r.close()
 	if err := r.start(); err != nil {
@@ -82,6 +85,11 @@
 	}
 	complete := r.execute(ctx)
 	r.checkInvariants()
+	if o.Trace {
+		if err := r.history.writeTo(filepath.Join(dir, historyFile)); err != nil {
+			return nil, err
+		}
+	}
 	result := r.result()
 	result.Partial = !complete
 	if len(result.Violations) == 0 && o.Dir == "" || !o.Keep {
--- a/internal/syscalls/faults/kernel.go
+++ b/internal/syscalls/faults/kernel.go
@@ -22,6 +22,7 @@
 	Accept       Call = "accept"
 	Read         Call = "read"
 	Write        Call = "write"
+	Close        Call = "close" // traced only: a close that fails releases its descriptor all the same
 	EpollCreate  Call = "epoll_create"
 	EpollControl Call = "epoll_ctl"
 	EpollWait    Call = "epoll_wait"
--- a/internal/syscalls/faults/plan.go
+++ b/internal/syscalls/faults/plan.go
@@ -33,6 +33,7 @@
 	Origin int64   `json:"origin"` // start of the plan as of MonotonicNow, ns
 	Seed   uint64  `json:"seed"`   // seed of the random choice of calls that fail
 	Faults []Fault `json:"spans"`
+	Trace  string  `json:"trace,omitempty"` // file to which the results of system calls are appended; empty for none
 }
 
 // MonotonicNow returns the time of the system's monotonic clock in ns. All processes share this clock.
@@ -52,7 +53,10 @@
 		return fmt.Errorf("parse fault plan: %w", err)
 	}
 	syscalls.Default = p.Kernel(syscalls.Linux{})
-	return nil
+	if p.Trace == "" {
+		return nil
+	}
+	return installTrace(p.Trace, p.Origin)
 }
 
 // Kernel returns a Kernel that injects the faults of the plan into the underlying one.
--- a/internal/syscalls/kernel.go
+++ b/internal/syscalls/kernel.go
@@ -19,6 +19,8 @@
 	Accept(fd int) (conn int, peer unix.Sockaddr, err error)
 	Read(fd int, b []byte) (int, error)
 	Write(fd int, b []byte) (int, error)
+	// Close closes a descriptor, which is released even if an error is returned.
+	Close(fd int) error
 	EpollCreate() (int, error)
 	// EpollControl adds, changes or removes a descriptor; tag is returned in the Pad field of its events.
 	EpollControl(epoll, operation, fd int, events uint32, tag int32) error
--- a/internal/syscalls/linux.go
+++ b/internal/syscalls/linux.go
@@ -37,6 +37,9 @@
 // Write implements Kernel.
 func (Linux) Write(fd int, b []byte) (int, error) { return unix.Write(fd, b) }
 
+// Close implements Kernel.
+func (Linux) Close(fd int) error { return unix.Close(fd) }
+
 // EpollCreate implements Kernel.
 func (Linux) EpollCreate() (int, error) { return unix.EpollCreate1(unix.EPOLL_CLOEXEC) }
 
