Soak: a request that crosses an idle close is sent again beside cancelled ones

No caller was harmed; the emulated client broke the protocol. Cause: a client sends a request again, once, if it crosses the close of a connection with no open request. The emulated client counted a request that it had cancelled, and for which no response is due, as open for ever. Change: only requests without an outcome count as open.

--- a/internal/soak/connection.go
+++ b/internal/soak/connection.go
@@ -91,13 +91,19 @@
 	carriedOthers := cc.seq > 1
 	cc.mu.Unlock()
 	cc.history.update(func() {
+		unanswered := 0 // aborted requests stay registered, but are due no response
+		for _, req := range requests {
+			if req.Outcome == pending {
+				unanswered++
+			}
+		}
 		for _, req := range requests {
 			if req.Outcome != pending {
 				continue
 			}
 			req.Outcome = Closed
 			req.EndedAt = now
-			req.WasIdle = len(requests) == 1 && carriedOthers
+			req.WasIdle = unanswered == 1 && carriedOthers
 			if truncated {
 				req.Outcome = Malformed
 			}
--- a/internal/soak/connection_test.go
+++ b/internal/soak/connection_test.go
@@ -180,3 +180,26 @@
 		t.Errorf("nothing new: %s", got)
 	}
 }
+
+// A request that was cancelled is due no response, so that a connection with no other request in flight was idle.
+func TestCancelledRequestsLeaveConnectionIdle(t *testing.T) {
+	r := newTestRunner()
+	cc := &clientConn{socket: new(net.TCPConn), history: r.history, inFlight: map[int32]*request{}}
+	cancelled, unanswered, crossing := newTestRequest("a"), newTestRequest("b"), newTestRequest("c")
+	for _, req := range []*request{cancelled, crossing} {
+		cc.register(req)
+	}
+	cancelled.Outcome = ClientAborted
+	cc.connectionEnded(1, false)
+	if !crossing.WasIdle || cancelled.Outcome != ClientAborted {
+		t.Errorf("after a cancelled request: %+v, %+v", crossing, cancelled)
+	}
+	cc.closed = false
+	crossing.Outcome = pending
+	cc.register(unanswered)
+	cc.register(crossing)
+	cc.connectionEnded(2, false)
+	if crossing.WasIdle || unanswered.WasIdle {
+		t.Errorf("beside a request without a response: %+v, %+v", crossing, unanswered)
+	}
+}
