Connections are closed as idle only once a read has returned that they are empty

Cause: before closing an idle connection its owner reads what lies in the kernel (ReadNow), but closed it also if that read failed. Stops, idle timeouts and evictions for want of descriptors did so, on the platform and over HTTP. Change: ReadNow reports whether a read said that nothing is left; otherwise the connection stays open and is looked at again. When the process must end, CloseAll reads once more, for up to 20 ms, answers what it reads, and counts and logs the connections that stay unread: mastchute_closed_unread_total{reason}, drop reason closed_unread, and a log line. A worker's partial response is read once more before its connection counts as stalled. Why it works: no path but the forced end of the process closes a connection that may hold a request.

--- a/internal/gateway/http_clients.go
+++ b/internal/gateway/http_clients.go
@@ -83,6 +83,9 @@
 // ConnectionCount implements ClientTransport.
 func (t *httpClientTransport) ConnectionCount() int { return t.server.ConnectionCount() }
 
+// CloseAll implements ClientTransport.
+func (t *httpClientTransport) CloseAll() (unreadCount int) { return t.server.CloseFlushed() }
+
 // BufferedBytes implements ClientTransport.
 func (t *httpClientTransport) BufferedBytes() int64 { return t.budget.Used }
 
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -42,6 +42,9 @@
 	Drain()
 	// ConnectionCount returns the number of open client connections.
 	ConnectionCount() int
+	// CloseAll closes all connections, as the process must end. It reads and answers what has arrived before, and returns the
+	// number of connections of which bytes stayed unread.
+	CloseAll() (unreadCount int)
 	// BufferedBytes returns the size of the request bodies held in memory.
 	BufferedBytes() int64
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	guardActions   *prometheus.CounterVec
 	violations     *prometheus.CounterVec
 	heldBack       *prometheus.CounterVec
+	closedUnread   *prometheus.CounterVec
 	accepted       *prometheus.CounterVec
 	outcomes       *prometheus.CounterVec
 	latency        *prometheus.HistogramVec
@@ -90,6 +91,7 @@
 		guardActions:   r.counterVec("mastchute_guards_total", "Times the host barred what a rule forbids; each is a fault to report.", "guard"),
 		violations:     r.counterVec("mastchute_violations_total", "Acts that the decisions asked for and a rule forbids; barred, and a fault to report.", "rule", "reason"),
 		heldBack:       r.counterVec("mastchute_overtaken_total", "Attempts held back at the last moment, as events overtook them; no fault.", "rule", "reason"),
+		closedUnread:   r.counterVec("mastchute_closed_unread_total", "Client connections closed although bytes may have been unread, by reason.", "reason"),
 		accepted:       r.counterVec("mastchute_taken_total", "Inferences taken.", "group"),
 		outcomes:       r.counterVec("mastchute_answers_total", "Final answers, by kind; left means that the client went first.", "group", "answer"),
 		attempts:       r.counterVec("mastchute_forwards_total", "Forwards to workers.", "worker"),
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -55,7 +55,7 @@
 		}
 		g.stopDeadline = math.Min(g.stopDeadline, now)
 		if g.isShutdownComplete(now) {
-			g.log.Info().Msg("stopped")
+			g.closeConnections()
 			g.Loop.Stop()
 			return
 		}
@@ -63,6 +63,17 @@
 	g.Loop.StartTimer(&g.stopTimer, shutdownPollInterval)
 }
 
+// closeConnections closes the clients' connections that are still open when the loop stops, and logs the end of the shutdown.
+func (g *Gateway) closeConnections() {
+	open := g.clients.ConnectionCount()
+	unread := g.clients.CloseAll()
+	if unread > 0 {
+		g.Metrics.closedUnread.WithLabelValues("shutdown").Add(float64(unread))
+		g.log.Warn().Int("connections", unread).Msg("connections closed although requests may be unread: reads kept failing")
+	}
+	g.log.Info().Int("open_connections", open).Msg("stopped")
+}
+
 func (g *Gateway) graceExpired() {
 	failed := g.finishAllRequests("the dispatcher is stopping")
 	if failed > 0 {
--- a/internal/httpconn/server.go
+++ b/internal/httpconn/server.go
@@ -13,6 +13,9 @@
 	drainHeadTimeout = 1.0  // time to receive the first head on a connection accepted while draining
 )
 
+// closeRetryDelay is the time, in seconds, until the next check of a connection whose timeout has passed while reads fail.
+const closeRetryDelay = 0.05
+
 // ServerOptions are the options of a Server. Zero values select the defaults.
 type ServerOptions struct {
 	Limits          httpcodec.Limits // of requests; default httpcodec.DefaultLimits
@@ -112,6 +115,31 @@
 	}
 }
 
+// CloseFlushed closes all connections once what has been written to them is sent. It reads what has arrived before, and returns
+// the number of connections of which bytes stayed unread because reads fail.
+func (s *Server) CloseFlushed() (unreadCount int) {
+	for c := range s.conns {
+		empty := c.tcp.ReadNow()
+		if !c.tcp.IsOpen() {
+			continue
+		}
+		streaming := c.exchange != nil && c.exchange.streaming // a reader that is paused, not one whose reads fail
+		if !empty && !streaming {
+			unreadCount++
+		}
+		c.tcp.Flush()
+		if !c.tcp.IsOpen() {
+			continue
+		}
+		if c.exchange != nil {
+			s.Service.ClientDisconnected(c.exchange)
+		}
+		c.tcp.CloseFlushed()
+		c.release()
+	}
+	return unreadCount
+}
+
 // Close closes the listener and resets all connections immediately. Service.ClientDisconnected is called for each request
 // in flight.
 func (s *Server) Close() {
--- a/internal/httpconn/server_conn.go
+++ b/internal/httpconn/server_conn.go
@@ -77,9 +77,15 @@
 // not read a streamed response.
 func (c *serverConn) onTimeout() {
 	exchange := c.exchange
+	streaming := exchange != nil && exchange.streaming
+	if !streaming && !c.readPending() {
+		return
+	}
+	exchange = c.exchange
 	switch {
 	case c.isIdle():
-		c.closeIdle()
+		c.tcp.CloseFlushed()
+		c.release()
 	case exchange == nil:
 		c.reject(errHeadTimeout)
 	case !exchange.requestComplete:
@@ -91,14 +97,17 @@
 	}
 }
 
-// closeIdle closes an idle connection, unless a request has arrived in time but has not been read yet.
-func (c *serverConn) closeIdle() {
-	c.tcp.ReadNow()
-	if !c.isIdle() || !c.tcp.IsOpen() {
-		return
+// readPending reads the bytes that arrived before a timeout and are still unread. It reports whether the timeout applies all
+// the same: not if they complete what was awaited, nor while reads fail, in which case the timer is started again.
+func (c *serverConn) readPending() (timeoutApplies bool) {
+	empty := c.tcp.ReadNow()
+	if !c.tcp.IsOpen() || c.timer.Pending() {
+		return false
 	}
-	c.tcp.CloseFlushed()
-	c.release()
+	if !empty {
+		c.server.Loop.StartTimer(&c.timer, closeRetryDelay)
+	}
+	return empty
 }
 
 // reject responds to a message with an error and closes the connection.
--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -40,11 +40,11 @@
 		if idle == nil {
 			return false
 		}
-		idle.conn.ReadNow()
-		if idle.isBusy() {
-			continue
-		}
+		empty := idle.conn.ReadNow()
 		if !idle.closed {
+			if !empty || idle.isBusy() {
+				continue
+			}
 			t.countDrop(reasonIdleClosed)
 			idle.close(reasonIdleClosed)
 		}
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -10,6 +10,7 @@
 	firstMessageTimeout   = 1.5       // s until the first message: clients connect when they have a request
 	partialMessageTimeout = 1.0       // s that a message may take to arrive completely: a client sends it with one write
 	clientIdleTimeout     = 20.0      // s without a message after which a connection is closed: clients close it after a few seconds
+	closeRetryDelay       = 0.05      // s until the next check of a connection whose timeout has passed while reads fail
 	maxScratchBytes       = 64 << 10  // bytes of capacity beyond which the scratch buffer is not kept
 	maxUnreadBytes        = 512 << 10 // bytes of responses unread by the client beyond which its connection is closed
 )
@@ -199,12 +200,12 @@
 	}
 }
 
-// timerExpired closes a connection after its timeout, unless bytes that arrived in time are still unread.
+// timerExpired closes a connection after its timeout, unless bytes that arrived in time are or may be unread.
 func (c *clientConn) timerExpired() {
 	wasPartial := c.partialMessage
 	readsBefore := c.readCount
 	backoffsAtStart := c.backoffsAtStart
-	c.conn.ReadNow()
+	empty := c.conn.ReadNow()
 	if c.closed {
 		return
 	}
@@ -214,6 +215,8 @@
 		return
 	}
 	switch {
+	case !empty:
+		c.transport.loop.StartTimer(&c.timer, closeRetryDelay)
 	case c.partialMessage && c.conn.BackoffCount() != backoffsAtStart: // reads failed locally: the client is not at fault
 		c.resetTimer(true)
 	case c.partialMessage && rules.CheckClose(c.requestCount) != rules.Allowed:
--- a/internal/platform/client_transport.go
+++ b/internal/platform/client_transport.go
@@ -14,6 +14,9 @@
 // closeInterval is the interval, in s, at which idle connections are closed although clients still use them.
 const closeInterval = 0.02
 
+// finalReadDuration is how long, in s, reads that fail are retried when the process must end.
+const finalReadDuration = 0.02
+
 // clientTransport accepts the clients' connections and creates the transports to workers. It implements
 // gateway.ClientTransport. It must be used on the loop's goroutine only.
 type clientTransport struct {
@@ -166,17 +169,43 @@
 	t.loop.StartTimer(&t.drainTimer, interval)
 }
 
-// closeIdle closes the idle connections, after handling bytes that are still unread in the kernel. A connection with a
-// partial message stays open until its timeout, and a new connection while its first message may be under way.
+// closeIdle closes the idle connections, after handling bytes that are still unread in the kernel. A connection stays open
+// while reads fail, so that unread requests are not discarded. A connection with a partial message stays open until its
+// timeout, and a new connection while its first message may be under way.
 func (t *clientTransport) closeIdle() {
-	var conns []*clientConn
+	for _, c := range t.openClientConns() {
+		empty := c.conn.ReadNow()
+		if empty && !c.partialMessage && c.evictable() {
+			c.close(reasonDrained)
+		}
+	}
+}
+
+// openClientConns returns the connections, those with the oldest last message first.
+func (t *clientTransport) openClientConns() (conns []*clientConn) {
 	for c := t.connRing.next; c != &t.connRing; c = c.next {
 		conns = append(conns, c)
 	}
-	for _, c := range conns {
-		c.conn.ReadNow()
-		if !c.partialMessage && c.evictable() {
-			c.close(reasonDrained)
+	return conns
+}
+
+// CloseAll implements gateway.ClientTransport. While reads fail, it retries them for finalReadDuration.
+func (t *clientTransport) CloseAll() (unreadCount int) {
+	readUntil := t.loop.Clock() + finalReadDuration
+	for _, c := range t.openClientConns() {
+		empty := c.conn.ReadNow()
+		for !empty && !c.closed && t.loop.Clock() < readUntil {
+			empty = c.conn.ReadNow()
+		}
+		if c.closed {
+			continue
+		}
+		if !empty {
+			unreadCount++
+			t.countDrop(reasonClosedUnread)
 		}
+		c.conn.Flush()
+		c.close(reasonShutdown)
 	}
+	return unreadCount
 }
--- a/internal/platform/reasons.go
+++ b/internal/platform/reasons.go
@@ -20,6 +20,8 @@
 	reasonIdleClosed       = "idle_closed"
 	reasonNoDescriptor     = "no_descriptor"
 	reasonDrained          = "drained"
+	reasonShutdown         = "shutdown"
+	reasonClosedUnread     = "closed_unread"
 	reasonPeerClosed       = "peer_closed"
 
 	reasonMalformedResponse   = "answer_spoilt"
--- a/internal/platform/system_faults_test.go
+++ b/internal/platform/system_faults_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -100,21 +101,30 @@
 }
 
 // attemptCount returns how many attempts ended with a result, from the metrics.
-func (h *harness) attemptCount(result string) (sum float64) {
+func (h *harness) attemptCount(result string) float64 {
+	h.t.Helper()
+	return h.counterSum("mastchute_forward_ends_total", result)
+}
+
+// counterSum returns the sum of a metric's counters that have all of the given label values.
+func (h *harness) counterSum(name string, labelValues ...string) (sum float64) {
 	h.t.Helper()
 	families, err := h.dispatcher.Gateway.Metrics.Registry.Gather()
 	if err != nil {
 		h.t.Fatal(err)
 	}
 	for _, family := range families {
-		if family.GetName() != "mastchute_forward_ends_total" {
+		if family.GetName() != name {
 			continue
 		}
 		for _, metric := range family.Metric {
+			values := map[string]bool{}
 			for _, label := range metric.Label {
-				if label.GetValue() == result {
-					sum += metric.Counter.GetValue()
-				}
+				values[label.GetValue()] = true
+			}
+			missing := slices.ContainsFunc(labelValues, func(value string) bool { return !values[value] })
+			if !missing {
+				sum += metric.Counter.GetValue()
 			}
 		}
 	}
--- a/internal/platform/unread_requests_test.go
+++ b/internal/platform/unread_requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +11,105 @@
 	"mastchute/internal/syscalls/faults"
 )
 
+// sendUnread sends a request on each of n accepted connections while reads fail, so that it stays unread in the kernel.
+func (h *harness) sendUnread(kernel *failingKernel, n int, errno syscall.Errno, duration time.Duration) (clients []*testClient) {
+	h.t.Helper()
+	for range n {
+		clients = append(clients, h.dialAccepted())
+	}
+	kernel.failFor(faults.Read, errno, duration)
+	for _, client := range clients {
+		client.send("once", "in")
+	}
+	return clients
+}
+
+// expectReplies checks that each client gets a reply.
+func (h *harness) expectReplies(clients []*testClient) {
+	h.t.Helper()
+	closed := 0
+	for _, client := range clients {
+		if _, ok := client.readReply(); !ok {
+			closed++
+		}
+	}
+	if closed > 0 {
+		h.t.Errorf("%d of %d connections were closed with an unread request", closed, len(clients))
+	}
+}
+
+// A shutdown does not close connections whose requests are unread because reads fail.
+func TestStopKeepsConnectionsWhileReadsFail(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		maxTimeout     float64       // s, which determines the schedule of the shutdown
+		failsAt, fails time.Duration // after the stop signal
+		errno          syscall.Errno
+	}{
+		{"as connections close", 0.25, 570 * time.Millisecond, 50 * time.Millisecond, unix.ENOBUFS},
+		{"throughout the drain", 1.2, 700 * time.Millisecond, 500 * time.Millisecond, unix.ENOMEM},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			kernel := newFailingKernel(t)
+			h := newHarness(t, "load", newFakeWorker(t, "w1", respondServed))
+			h.expect("read", "returned")
+			h.onLoop(func() {
+				h.dispatcher.maxTimeout = c.maxTimeout
+				h.dispatcher.Stop()
+			})
+			time.Sleep(c.failsAt)
+			h.expectReplies(h.sendUnread(kernel, 5, c.errno, c.fails))
+			h.waitEnd()
+		})
+	}
+}
+
+// A shutdown during which reads fail for good ends before the kill, and counts the connections that it closes unread.
+func TestStopEndsWhileReadsFailForGood(t *testing.T) {
+	kernel := newFailingKernel(t)
+	h := newHarness(t, "load", newFakeWorker(t, "w1", respondServed))
+	h.expect("read", "returned")
+	const timeout = 0.25 // s
+	stoppedAt := time.Now()
+	h.onLoop(func() {
+		h.dispatcher.maxTimeout = timeout
+		h.dispatcher.Stop()
+	})
+	time.Sleep(500 * time.Millisecond)
+	h.sendUnread(kernel, 5, unix.ENOBUFS, time.Minute)
+	h.waitEnd()
+	if took := time.Since(stoppedAt).Seconds(); took > timeout+stopTimes.KillDelay {
+		t.Errorf("the process ends %.2f s after SIGTERM", took)
+	}
+	if n := h.dispatcher.clients.dropCounts[reasonClosedUnread]; n != 5 { // the loop has ended
+		t.Errorf("%d connections count as closed unread, want 5", n)
+	}
+	if n := h.counterSum("mastchute_closed_unread_total"); n != 5 {
+		t.Errorf("the metric counts %g connections closed unread, want 5", n)
+	}
+}
+
+// Neither an idle timeout nor a shortage of descriptors closes connections whose requests are unread because reads fail.
+func TestIdleCloseSparesConnectionsWhileReadsFail(t *testing.T) {
+	for name, closeIdle := range map[string]func(h *harness){
+		"idle timeout": func(h *harness) {
+			for _, conn := range h.clientConns() {
+				h.dispatcher.Loop.CancelTimer(&conn.timer)
+				conn.timerExpired()
+			}
+		},
+		"eviction": func(h *harness) { h.dispatcher.clients.closeLongestIdle() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			kernel := newFailingKernel(t)
+			h := newHarness(t, "load", newFakeWorker(t, "w1", respondServed))
+			clients := h.sendUnread(kernel, 3, unix.ENOBUFS, 100*time.Millisecond)
+			h.onLoop(func() { closeIdle(h) })
+			h.expectReplies(clients)
+		})
+	}
+}
+
 // Requests keep being read and answered while most reads and writes fail for lack of memory and the others are short.
 func TestRequestsAreReadWhileMostReadsFail(t *testing.T) {
 	for _, call := range []faults.Call{faults.Read, faults.Write} {
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -111,8 +111,14 @@
 	}
 }
 
-// timerExpired closes the connection after its timeout.
+// timerExpired closes the connection after its timeout, unless the rest of a partial response is unread in the kernel.
 func (c *workerConn) timerExpired() {
+	if c.partialResponse {
+		c.conn.ReadNow()
+		if c.closed || !c.partialResponse {
+			return
+		}
+	}
 	switch {
 	case c.partialResponse && c.conn.BackoffCount() != c.backoffsAtStart: // reads failed locally: the worker is not at fault
 		c.resetTimer()
