A stop waits for responses that are not written yet

Callers saw: a request in flight at a stop gets no response if writes fail for lack of memory at that moment: its connection ends with nothing. Cause: a connection that is closed once its bytes are sent no longer counts as a client's connection; with none left, the loop ended 0.1 s later and took the unwritten bytes with it. Evidence: TestStopAwaitsResponsesWhileWritesFail (writes fail with ENOBUFS for 0.4 s, the end is due after 1 s) on the text before: the connection ends after 0.1 s with no reply. Change: the shutdown is complete only when no closing connection holds unwritten bytes, or at its end time. Why it works: the kernel delivers what it has accepted after the process ends; nothing else was lost there.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -162,6 +162,19 @@
 // but each still holds a descriptor.
 func (l *Loop) LingeringCount() int { return l.lingeringCount }
 
+// HasUnsentResponses reports whether a connection that CloseFlushed is closing has bytes that the kernel has not accepted.
+func (l *Loop) HasUnsentResponses() bool {
+	if l.lingeringCount == 0 {
+		return false
+	}
+	for _, r := range l.descriptors {
+		if r.conn != nil && r.conn.lingering && r.conn.UnsentBytes() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close releases the descriptors of a loop that has never run. Run releases them itself.
 func (l *Loop) Close() {
 	for fd, r := range l.descriptors {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -92,7 +92,7 @@
 	if now >= endBy {
 		return true
 	}
-	if g.clients.ConnectionCount() > 0 {
+	if g.clients.ConnectionCount() > 0 || g.Loop.HasUnsentResponses() {
 		return false
 	}
 	return g.Loop.Stats.Connections.Load() == 0 || now > g.stopDeadline+finalFlushDelay
--- a/internal/platform/unread_requests_test.go
+++ b/internal/platform/unread_requests_test.go
@@ -137,3 +137,22 @@
 		})
 	}
 }
+
+// A shutdown does not end while writes of the last responses fail.
+func TestStopAwaitsResponsesWhileWritesFail(t *testing.T) {
+	kernel := newFailingKernel(t)
+	h := newHarness(t, "load", newFakeWorker(t, "w1", ignore))
+	client := h.dialAccepted()
+	client.send("once", "in")
+	h.waitUntil("the request is in flight", func() bool { return h.dispatcher.Gateway.InFlight() == 1 })
+	kernel.failFor(faults.Write, unix.ENOBUFS, 400*time.Millisecond)
+	h.onLoop(func() {
+		now := h.dispatcher.Loop.Now()
+		h.dispatcher.clients.closeConnections()
+		h.dispatcher.Gateway.StopBy(now, now+1)
+	})
+	if reply, ok := client.readReply(); !ok || replyKind(reply) != "failed" {
+		t.Errorf("%+v %v", reply, ok)
+	}
+	h.waitEnd()
+}
