A non-retriable or deduplicated request never uses one worker connection twice

Cause: an attempt carries the request's id unchanged, and a response names nothing but that id. A worker's response that comes twice, some milliseconds apart, arrives at the connection that carries the retry by then: the second was taken for the retry's response, and said that it had not run. Change: an attempt of such a request is not written to a connection that has carried an earlier one of it; another connection is used or opened, in place of an idle one if the budget is used up. A queued call that waits for it does not hold up the calls behind it, and fails if connecting does. Why it works: responses come on the connection of their attempt, so each id has one attempt on each connection, and a late or repeated response finds none. Retriable requests keep sharing connections: a wrong match there costs a retry, not a rule, and connections are priced.

--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -129,6 +129,12 @@
 // Finished reports whether the attempt has ended.
 func (a *Attempt) Finished() bool { return a.finished }
 
+// Earlier returns the attempts of the request that precede this one.
+func (a *Attempt) Earlier() []*Attempt { return a.Request.attempts[:a.Index] }
+
+// PassedToTransport reports whether the transport got the attempt: not if a rule forbids it.
+func (a *Attempt) PassedToTransport() bool { return !a.blocked }
+
 // Finish records how the attempt ended. Calls after the first have no effect.
 func (a *Attempt) Finish(result control.Result) { a.gateway.finishAttempt(a, result) }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -34,6 +34,9 @@
 // Model returns the requested model.
 func (r *Request) Model() *Model { return r.model }
 
+// Effect returns the effect of running the request more than once.
+func (r *Request) Effect() control.Effect { return r.group.effect }
+
 // Deadline returns the client's deadline in seconds of the loop's clock.
 func (r *Request) Deadline() float64 { return r.deadline }
 
--- a/internal/platform/send_queue.go
+++ b/internal/platform/send_queue.go
@@ -15,6 +15,7 @@
 	workerCommand *gateway.WorkerCommand
 	transport     *workerTransport
 	conn          *workerConn // nil unless in flight
+	writtenTo     uint64      // number of the connection to which it was written; 0 before that, and after it was retracted
 	queued        bool
 	tag           [24]byte // identifies the call in the worker's response: the request's id, or for a command a counter
 	tagLen        int
@@ -63,17 +64,21 @@
 		t.pool.awaitingResume = append(t.pool.awaitingResume, t)
 		return
 	}
-	written := 0
-	for ; written < len(t.queue); written++ {
-		conn := t.leastLoadedConn()
-		if conn == nil {
+	left := t.queue[:0]
+	for i, call := range t.queue {
+		conn := t.leastLoadedConn(call)
+		if conn != nil {
+			t.writeQueued(call, conn)
+			continue
+		}
+		if !call.needsUnusedConn() { // no connection has capacity
+			left = append(left, t.queue[i:]...)
 			break
 		}
-		t.writeQueued(t.queue[written], conn)
+		left = append(left, call)
 	}
-	left := copy(t.queue, t.queue[written:])
-	clear(t.queue[left:])
-	t.queue = t.queue[:left]
+	clear(t.queue[len(left):])
+	t.queue = left
 	t.connectIfNeeded()
 }
 
@@ -87,6 +92,26 @@
 	conn.writeCall(call)
 }
 
+// needsUnusedConn reports whether the call must not be written to a connection that has carried an earlier attempt of its
+// request. Responses identify an attempt only by the request's id, and a worker may send one twice: on the same connection
+// the second could not be distinguished from the response to the later attempt, which may still run.
+func (c *workerCall) needsUnusedConn() bool {
+	return c.attempt != nil && c.attempt.Index > 0 && c.attempt.Request.Effect() != control.Retriable
+}
+
+// mayUse reports whether the call may be written to a connection.
+func (c *workerCall) mayUse(conn *workerConn) bool {
+	if !c.needsUnusedConn() {
+		return true
+	}
+	for _, earlier := range c.attempt.Earlier() {
+		if earlier.PassedToTransport() && callOf(earlier.TransportState).writtenTo == conn.number {
+			return false
+		}
+	}
+	return true
+}
+
 // checkFirstByte returns rules.Allowed if a message for the call may be encoded and its first byte sent now.
 func (c *workerCall) checkFirstByte(now float64) rules.Reason {
 	if c.attempt != nil {
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -20,6 +20,7 @@
 // workerConn is one connection to a worker. It carries several calls at a time.
 type workerConn struct {
 	transport       *workerTransport
+	number          uint64 // identifies the connection among all of the pool, from 1
 	conn            *eventloop.Conn
 	inFlight        []*workerCall // written calls without a response, in no particular order
 	established     bool
--- a/internal/platform/worker_pool.go
+++ b/internal/platform/worker_pool.go
@@ -24,6 +24,7 @@
 	awaitingDescriptor []*workerTransport // their queues are processed when a connection ends or becomes idle
 	awaitingResume     []*workerTransport // their queues are processed when sends are resumed
 	lastTag            uint64             // number in the tag of the latest worker command
+	lastConnNumber     uint64             // of the latest connection
 }
 
 // init initializes the pool from the configuration. The gateway and the loop of clients must be set.
--- a/internal/platform/worker_send.go
+++ b/internal/platform/worker_send.go
@@ -35,6 +35,7 @@
 		return
 	}
 	call.conn = c
+	call.writtenTo = c.number
 	c.inFlight = append(c.inFlight, call)
 	c.resetTimer()
 }
@@ -121,6 +122,7 @@
 	if !c.conn.RemoveQueued(call.startOffset, call.endOffset) {
 		return false
 	}
+	call.writtenTo = 0
 	length := call.endOffset - call.startOffset
 	for _, other := range c.inFlight {
 		if other.startOffset >= call.endOffset {
--- a/internal/platform/worker_transport.go
+++ b/internal/platform/worker_transport.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"strconv"
 	"syscall"
 
@@ -145,11 +146,11 @@
 // QueuedCount implements gateway.WorkerTransport.
 func (t *workerTransport) QueuedCount() int { return len(t.queue) }
 
-// leastLoadedConn returns the connection with the fewest calls in flight, nil if none has capacity.
-func (t *workerTransport) leastLoadedConn() *workerConn {
+// leastLoadedConn returns the connection with the fewest calls in flight that may carry a call, nil if none has capacity.
+func (t *workerTransport) leastLoadedConn(call *workerCall) *workerConn {
 	var best *workerConn
 	for _, conn := range t.conns {
-		if conn.hasCapacity() && (best == nil || len(conn.inFlight) < len(best.inFlight)) {
+		if conn.hasCapacity() && call.mayUse(conn) && (best == nil || len(conn.inFlight) < len(best.inFlight)) {
 			best = conn
 		}
 	}
@@ -163,7 +164,7 @@
 	}
 	pool := t.pool
 	if len(pool.conns) >= pool.maxConns {
-		if len(t.conns) > 0 {
+		if len(t.conns) > 0 && !t.hasCallWithoutConn() {
 			return
 		}
 		if !pool.acquireDescriptor() {
@@ -179,6 +180,16 @@
 	return len(t.queue) > t.connectingCount()*t.pool.maxStreams
 }
 
+// hasCallWithoutConn reports whether there is a queued call that may use none of the connections.
+func (t *workerTransport) hasCallWithoutConn() bool {
+	return slices.ContainsFunc(t.queue, t.hasNoConnFor)
+}
+
+// hasNoConnFor reports whether a call may use none of the connections, however little they carry.
+func (t *workerTransport) hasNoConnFor(call *workerCall) bool {
+	return !slices.ContainsFunc(t.conns, call.mayUse)
+}
+
 // needsSpareConn reports whether each of the connections is established and carries spareConnThreshold calls or more.
 func (t *workerTransport) needsSpareConn() bool {
 	if len(t.queue) > 0 || len(t.conns) == 0 || len(t.conns) >= maxConnsWithSpare || t.closed {
@@ -205,14 +216,15 @@
 
 // connect starts to establish a connection.
 func (t *workerTransport) connect() {
-	conn := &workerConn{transport: t}
+	t.pool.lastConnNumber++
+	conn := &workerConn{transport: t, number: t.pool.lastConnNumber}
 	conn.timer.Fire = conn.timerExpired
 	t.conns = append(t.conns, conn)
 	t.pool.conns[conn] = struct{}{}
 	conn.conn = t.pool.loop.Dial(t.addr, t.pool.connectTimeout, conn)
 }
 
-// connectFailed finishes the queued calls, unless another connection may still carry them. A local failure is not
+// connectFailed finishes the queued calls that no other connection may carry. A local failure is not
 // attributed to the worker.
 func (t *workerTransport) connectFailed(conn *workerConn, err error) {
 	result := control.ConnectFailed
@@ -223,13 +235,26 @@
 	}
 	t.removeConn(conn)
 	t.reportReset(err)
-	if len(t.conns) > 0 {
+	t.finishQueuedWithoutConn(result)
+	if len(t.queue) > 0 {
 		t.scheduleQueue()
-		return
 	}
-	queue := t.queue
-	t.queue = nil
-	for _, call := range queue {
+}
+
+// finishQueuedWithoutConn finishes the queued calls that may use none of the connections.
+func (t *workerTransport) finishQueuedWithoutConn(result control.Result) {
+	var failed []*workerCall
+	left := t.queue[:0]
+	for _, call := range t.queue {
+		if t.hasNoConnFor(call) {
+			failed = append(failed, call)
+		} else {
+			left = append(left, call)
+		}
+	}
+	clear(t.queue[len(left):])
+	t.queue = left
+	for _, call := range failed {
 		call.queued = false
 		call.finish(result)
 	}
