Soak: a mode of stops, with signals in series and crowds of clients

Need: stops among other faults were drawn by chance only, series of signals and crowds in outages only. Series of signals hold further SIGTERM in outages, too. Plans of the existing modes are unchanged.

--- a/internal/cli/lab_soak.go
+++ b/internal/cli/lab_soak.go
@@ -23,7 +23,8 @@
 	Span          float64  `default:"8" help:"Duration of the faults in each run, in seconds."`
 	Only          []string `help:"Kinds of fault to choose from; all by default."`
 	Plan          bool     `help:"Print the faults of each run."`
-	Outage        bool     `help:"Inject outages of discovery during which workers drain but stay up. The duration of a run depends on its outage."`
+	Outage        bool     `help:"Inject outages of discovery during which workers drain but stay up. The duration of a run depends on its outage." xor:"mode"`
+	Stops         bool     `help:"Stop each dispatcher several times, half of them among other signals, with other faults around each stop. Some runs have a crowd of clients." xor:"mode"`
 	Shrink        bool     `help:"Reduce the faults of a failed run to those that are needed to violate the guarantee."`
 	Coverage      bool     `help:"Print how many requests were exposed to each kind of fault, and to each pair of kinds."`
 	Trace         bool     `help:"Keep the system calls of each dispatcher and the recorded traffic of a failed run, too. Needs --shims."`
@@ -49,8 +50,11 @@
 	failedRuns := 0
 	for i := range c.Seeds {
 		draw := soak.Draw
-		if c.Outage {
+		switch {
+		case c.Outage:
 			draw = soak.DrawOutage
+		case c.Stops:
+			draw = soak.DrawStops
 		}
 		result, err := c.runPlan(ctx, draw(c.Seed+uint64(i), bounds))
 		if err != nil {
@@ -143,6 +147,9 @@
 	if c.Outage {
 		replay += " --outage"
 	}
+	if c.Stops {
+		replay += " --stops"
+	}
 	if len(c.Only) > 0 {
 		replay += " --only " + strings.Join(c.Only, ",")
 	}
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -32,9 +32,9 @@
 // signalInterval is the time between two signals of a SignalSeries.
 const signalInterval = 70 * time.Millisecond
 
-// interferingSignals are sent around a SIGTERM in a SignalSeries. None of them ends a process that has not received
-// SIGTERM.
-var interferingSignals = []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP}
+// interferingSignals are sent around a SIGTERM in a SignalSeries. SIGTERM itself is sent only to a process that has received
+// one already; none of the others ends a process.
+var interferingSignals = []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGTERM}
 
 // interval is a span of time, in seconds of the run.
 type interval struct{ from, to float64 }
@@ -287,7 +287,10 @@
 	ended := make(chan struct{})
 	go func() {
 		for i := 0; ; i++ {
-			d.signal(interferingSignals[i%len(interferingSignals)])
+			sig := interferingSignals[i%len(interferingSignals)]
+			if sig != syscall.SIGTERM || d.isTerminating() {
+				d.signal(sig)
+			}
 			select {
 			case <-ended:
 				return
@@ -302,6 +305,13 @@
 	close(ended)
 }
 
+// isTerminating reports whether the process has been sent SIGTERM.
+func (d *dispatcher) isTerminating() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sigtermAt > 0
+}
+
 // plannedSuspension returns for how long the plan suspends the process during a shutdown that begins now.
 func (d *dispatcher) plannedSuspension(now float64) (sum float64) {
 	for _, f := range d.run.plan.Faults {
