--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -101,8 +101,9 @@
 	writes       batchQueue[*Conn] // connections with bytes to write
 	redeliveries batchQueue[*Conn] // connections whose unconsumed bytes are passed to Received again
 	deferred     batchQueue[func()]
-	postedMutex  sync.Mutex         // guards posted, except the batch being run
+	postedMutex  sync.Mutex         // guards posted, except the batch being run, and closed
 	posted       batchQueue[func()] // added by any goroutine
+	closed       bool               // wakeFD has been closed
 
 	readBuffer  []byte // contents are valid during one call of Received
 	freeBuffers [][]byte
@@ -182,6 +183,9 @@
 			l.kernel.Close(fd)
 		}
 	}
+	l.postedMutex.Lock()
+	l.closed = true
+	l.postedMutex.Unlock()
 	for _, fd := range []int{l.epollFD, l.wakeFD, l.reserveFD} {
 		if fd >= 0 {
 			unix.Close(fd)
--- a/internal/eventloop/post.go
+++ b/internal/eventloop/post.go
@@ -11,8 +11,11 @@
 // if the loop has ended.
 func (l *Loop) Post(f func()) {
 	l.postedMutex.Lock()
+	defer l.postedMutex.Unlock()
+	if l.closed { // wakeFD may be the number of another descriptor by now
+		return
+	}
 	l.posted.add(f)
-	l.postedMutex.Unlock()
 	if l.wakePending.CompareAndSwap(false, true) {
 		l.wakeUp()
 	}
