A limit on attempts beyond the range of integers no longer means none

With limits.max_attempts of 1e300 callers got every request shed without an attempt. Cause: the number was converted to an integer before it was limited to 8; the conversion of such a number is undefined and gives the lowest integer on amd64. Change: the limit applies before the conversion.

--- a/control/settings.go
+++ b/control/settings.go
@@ -243,7 +243,7 @@
 		loadBudgetWindow:     p.number("models.load_window", from.Loads.Window, 0, 0, infinity),
 		loadBudgetBase:       p.number("models.load_few", from.Loads.Base, 0, 0, infinity),
 		loadBudgetPerRequest: p.number("models.load_share", from.Loads.PerRequest, 0, 0, infinity),
-		maxAttempts:          min(maxAttempts, int(p.number("limits.max_attempts", from.Attempts.Max, 1, 1, infinity))),
+		maxAttempts:          int(min(maxAttempts, p.number("limits.max_attempts", from.Attempts.Max, 1, 1, infinity))),
 		hedgingAllowed:       p.flag("limits.hedging", from.Attempts.Hedging),
 		cancelAllowed:        p.flag("limits.cancel", from.Attempts.Cancel),
 		probesAllowed:        p.flag("limits.probes", from.Probes.Allowed),
--- a/control/settings_test.go
+++ b/control/settings_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// TestHugeAttemptLimit checks that a limit beyond the range of integers means the most attempts possible.
+func TestHugeAttemptLimit(t *testing.T) {
+	for _, limit := range []float64{maxAttempts + 1, 1e300, math.MaxFloat64} {
+		s, _ := resolve(Settings{Attempts: AttemptSettings{Max: limit}})
+		if s.maxAttempts != maxAttempts {
+			t.Errorf("limits.max_attempts = %g allows %d attempts, want %d", limit, s.maxAttempts, maxAttempts)
+		}
+	}
+}
+
 // TestUnusableTypedSettings checks unusable values that the types of the settings allow: unknown values of enumerated
 // settings are recorded apart from the others.
 func TestUnusableTypedSettings(t *testing.T) {
