platform logs a reload that keeps failing once more, as serve does

On-call sees nothing of a SIGHUP whose configuration fails with the same error as an earlier one that had failed all its retries: serve logged it again, platform did not. Cause: the reloader had a switch for it that only serve set. Evidence: TestReloaderAfterRetries without the switch set, on the text before: logged 1 times, want 2. Change: the switch is gone, every reload logs it. The test's row that wanted one line asserted the fault; the test now wants two, always.

--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -23,7 +23,6 @@
 	r := &reloader{dispatcher: d, file: file, watcher: watcher}
 	r.Reload = r.reload
 	r.LogFailure = r.logFailure
-	r.RelogAfterRetries = true
 	return r
 }
 
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -10,11 +10,8 @@
 	// Reload reads the configuration and applies it. A configuration that cannot be used changes nothing.
 	Reload func() error
 	// LogFailure is called with an error of Reload unless the previous error had the same text, so that a failure is not
-	// logged again for each retry.
+	// logged again for each retry. One that persists through all retries is logged again by the next reload.
 	LogFailure func(err error)
-	// RelogAfterRetries makes LogFailure be called again with the same failure if it persisted through all retries and the
-	// next reload fails with it too.
-	RelogAfterRetries bool
 	// RetryDue receives a value when Retry must be called. It is nil while no retry is scheduled.
 	RetryDue <-chan time.Time
 
@@ -44,7 +41,7 @@
 	delay, ok := r.backoff.Next(time.Now())
 	if ok {
 		r.RetryDue = time.After(delay)
-	} else if r.RelogAfterRetries {
+	} else {
 		r.lastFailure = ""
 	}
 }
