HTTP: a request rejected after its body has come in states the real reason

On-call saw rejections for "stopping" of a process that was full, or whose model could not be added, and clients read "the dispatcher is stopping or full". Cause: the check after the body was a copy of the one after the head, with one reason for all of its cases. Evidence: TestRejectionAfterBodyStatesItsReason on the text before: too_many 0 for 1, stopping 1 for 0. Change: both ask rejectUnavailable. An unknown model is 404 there too, one that can't be added 409 (both were 503).

--- a/internal/gateway/http_clients.go
+++ b/internal/gateway/http_clients.go
@@ -121,17 +121,8 @@
 	if !httpcodec.EqualsLower(exchange.Head.Method, "post") {
 		return t.reject(exchange, "method", 405, "write POST")
 	}
-	_, err := g.resolveModel(modelName)
-	switch {
-	case errors.Is(err, errUnknownModel):
-		return t.reject(exchange, "unknown_model", 404, errUnknownModel.Error())
-	case err != nil:
-		return t.reject(exchange, "model_id", 409, "this model cannot be taken: "+err.Error())
-	case !g.Serving():
-		exchange.CloseAfterResponse()
-		return t.reject(exchange, "stopping", 503, "the dispatcher is stopping")
-	case g.inFlight >= g.cfg.Limits.Requests:
-		return t.reject(exchange, "too_many", 503, "too many inferences are in hand")
+	if _, rejected := t.rejectUnavailable(exchange, modelName); rejected {
+		return true
 	}
 	tenant := exchange.Head.Get("mastchute-tenant")
 	if len(tenant) > 0 && len(g.tenants) > 0 && t.tenantIndex(tenant) < 0 {
@@ -146,6 +137,25 @@
 	return false
 }
 
+// rejectUnavailable rejects a request if its model can't be used, or if the gateway accepts no requests now. Otherwise it returns
+// the model.
+func (t *httpClientTransport) rejectUnavailable(exchange *httpconn.Exchange, modelName []byte) (model *Model, rejected bool) {
+	g := t.gateway
+	model, err := g.resolveModel(modelName)
+	switch {
+	case errors.Is(err, errUnknownModel):
+		return nil, t.reject(exchange, "unknown_model", 404, errUnknownModel.Error())
+	case err != nil:
+		return nil, t.reject(exchange, "model_id", 409, "this model cannot be taken: "+err.Error())
+	case !g.Serving():
+		exchange.CloseAfterResponse()
+		return nil, t.reject(exchange, "stopping", 503, "the dispatcher is stopping")
+	case g.inFlight >= g.cfg.Limits.Requests:
+		return nil, t.reject(exchange, "too_many", 503, "too many inferences are in hand")
+	}
+	return model, false
+}
+
 // reject responds to a request that is not accepted. It does not set the Mastchute-Answer header, which only accepted requests
 // get. It always returns true.
 func (t *httpClientTransport) reject(exchange *httpconn.Exchange, reason string, status int, detail string) bool {
@@ -181,9 +191,8 @@
 func (t *httpClientTransport) RequestReceived(exchange *httpconn.Exchange) {
 	g := t.gateway
 	name, _, _ := parseModelPath(exchange.Head.Target)
-	model, err := g.resolveModel(name)
-	if err != nil || !g.Serving() || g.inFlight >= g.cfg.Limits.Requests {
-		t.reject(exchange, "stopping", 503, "the dispatcher is stopping or full")
+	model, rejected := t.rejectUnavailable(exchange, name)
+	if rejected {
 		return
 	}
 	details := control.Request{
--- a/internal/gateway/http_test.go
+++ b/internal/gateway/http_test.go
@@ -314,3 +314,30 @@
 		t.Errorf("%d attempts; the guard intervened %g times", n, h.guardCount("late"))
 	}
 }
+
+// A request whose head came in while there was room is rejected with the real reason if the table is full once its body has
+// come in.
+func TestRejectionAfterBodyStatesItsReason(t *testing.T) {
+	h := newHarness(t, "limits: {inferences: 1}\n", nil, newWorker(t, "w1", delayed(300*time.Millisecond)))
+	request := inferRequest("read-1", "", "in")
+	late := h.dial()
+	io.WriteString(late, request[:len(request)-1])
+	h.waitUntil("the head is checked", func() bool { return h.gateway.clients.BufferedBytes() > 0 })
+	first := h.dial()
+	io.WriteString(first, request)
+	h.waitUntil("the table is full", func() bool { return h.gateway.inFlight == 1 })
+	io.WriteString(late, request[len(request)-1:])
+	response, err := http.ReadResponse(bufio.NewReader(late), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != 503 {
+		t.Errorf("status %d, want 503", response.StatusCode)
+	}
+	for reason, want := range map[string]float64{"too_many": 1, "stopping": 0} {
+		if n := h.counterValue("mastchute_refusals_total", reason); n != want {
+			t.Errorf("%g rejections count as %s, want %g", n, reason, want)
+		}
+	}
+}
