Tests noted as missing or weak: client retry flag, unknown settings; help of a metric

No test of the platform saw whether a client's retry flag reaches the control module; the test of unknown enumerated settings looked at the effect for every setting; mastchute_overtaken_total counts load requests, too. Change: TestClientRetryReachesControlModule (fails with the flag left out), for which New takes the module's constructor inside the package; TestUnknownEnumValues starts from values that are not the defaults and wants exactly the unknown one replaced, which is stricter; the help text names load requests.

--- a/control/settings_test.go
+++ b/control/settings_test.go
@@ -131,10 +131,13 @@
 }
 
 // TestUnknownEnumValues checks that an unknown value of an enumerated setting is replaced by the default, which is the
-// strictest one for an effect, and is logged once.
+// strictest one, and is logged once. Each setting has another value than the default otherwise.
 func TestUnknownEnumValues(t *testing.T) {
 	for name, value := range map[string]any{"discovery": "guess", "groups.0.effect": "purest", "groups.0.scope": 4.0, "models.on_miss": "ask"} {
-		s := ParseSettings(SettingValues{"groups": 1.0, "models.orders": true, name: value})
+		values := SettingValues{"groups": 1.0, "models.orders": true, "discovery": discoveryNames[1], "groups.0.effect": effectNames[1],
+			"groups.0.scope": scopeNames[1], "models.on_miss": missNames[1]}
+		values[name] = value
+		s := ParseSettings(values)
 		err := Check(s)
 		if err != nil {
 			t.Errorf("%s = %v: Check returned %v", name, value, err)
@@ -143,8 +146,19 @@
 		d := New(1, s, log)
 		d.Reconcile()
 		d.Reconcile()
-		if len(log.lines) != 1 || !strings.Contains(log.lines[0], name) || d.groups[0].effect != NonRetriable {
-			t.Errorf("%s = %v: logged %q, effect %s", name, value, log.lines, d.groups[0].effect)
+		if len(log.lines) != 1 || !strings.Contains(log.lines[0], name) {
+			t.Errorf("%s = %v: logged %q", name, value, log.lines)
+		}
+		isDefault := map[string]bool{
+			"discovery":       d.discovery == 0,
+			"groups.0.effect": d.groups[0].effect == NonRetriable,
+			"groups.0.scope":  d.groups[0].dedupScope == 0,
+			"models.on_miss":  d.missPolicy == 0,
+		}
+		for other, got := range isDefault {
+			if got != (other == name) {
+				t.Errorf("%s = %v: %s is the default: %t", name, value, other, got)
+			}
 		}
 	}
 }
@@ -215,4 +229,5 @@
 	lines []string
 }
 
-func (l *logRecorder) Log(text string) { l.lines = append(l.lines, text) }
+func (l *logRecorder) SubscribeEndpointList(bool) {}
+func (l *logRecorder) Log(text string)            { l.lines = append(l.lines, text) }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -90,7 +90,7 @@
 		rejections:     r.counterVec("mastchute_refusals_total", "Requests refused before an inference was taken, by reason.", "reason"),
 		guardActions:   r.counterVec("mastchute_guards_total", "Times the host barred what a rule forbids; each is a fault to report.", "guard"),
 		violations:     r.counterVec("mastchute_violations_total", "Acts that the decisions asked for and a rule forbids; barred, and a fault to report.", "rule", "reason"),
-		heldBack:       r.counterVec("mastchute_overtaken_total", "Attempts held back at the last moment, as events overtook them; no fault.", "rule", "reason"),
+		heldBack:       r.counterVec("mastchute_overtaken_total", "Attempts and load requests held back before their first byte, as what the rules allow had changed since they were queued; no fault.", "rule", "reason"),
 		closedUnread:   r.counterVec("mastchute_closed_unread_total", "Client connections closed although bytes may have been unread, by reason.", "reason"),
 		accepted:       r.counterVec("mastchute_taken_total", "Inferences taken.", "group"),
 		outcomes:       r.counterVec("mastchute_answers_total", "Final answers, by kind; left means that the client went first.", "group", "answer"),
--- a/internal/platform/dispatcher.go
+++ b/internal/platform/dispatcher.go
@@ -58,6 +58,16 @@
 // New returns a dispatcher that already listens on the configured address. It serves once its loop runs. If New fails, it
 // closes everything that it opened.
 func New(file *ConfigFile, log zerolog.Logger) (*Dispatcher, error) {
+	return newWithModule(file, log, newControlModule)
+}
+
+// newControlModule creates the control module.
+func newControlModule(seed uint64, settings control.Settings, actions control.Actions) control.Module {
+	return control.New(seed, settings, actions)
+}
+
+// newWithModule is like New, with the function that creates the control module.
+func newWithModule(file *ConfigFile, log zerolog.Logger, newModule gateway.NewModule) (*Dispatcher, error) {
 	loop, err := eventloop.New(0)
 	if err != nil {
 		return nil, err
@@ -70,7 +80,7 @@
 		loggedDrops: map[string]int{},
 		loopResult:  make(chan error, 1),
 	}
-	err = dispatcher.newGateway()
+	err = dispatcher.newGateway(newModule)
 	if err != nil {
 		loop.Close()
 		return nil, err
@@ -89,7 +99,7 @@
 }
 
 // newGateway creates the gateway with the platform's client transport.
-func (d *Dispatcher) newGateway() error {
+func (d *Dispatcher) newGateway(newModule gateway.NewModule) error {
 	file := d.config
 	terms := leaseTerms(file.drainGrace())
 	options := gateway.Options{
@@ -108,9 +118,6 @@
 			return clients, err
 		},
 	}
-	newModule := func(seed uint64, settings control.Settings, actions control.Actions) control.Module {
-		return control.New(seed, settings, actions)
-	}
 	var err error
 	d.Gateway, err = gateway.New(d.Loop, options, d.log, newModule)
 	return err
--- a/internal/platform/forwarding_test.go
+++ b/internal/platform/forwarding_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mastchute/control"
 )
 
 // Bodies of all lengths are passed to the worker and back unchanged, and the worker's load report is read.
@@ -189,3 +191,36 @@
 		}
 	})
 }
+
+// requestRecorder is a control module that records the requests that arrive.
+type requestRecorder struct {
+	control.Module
+	arrived []control.Request
+}
+
+func (r *requestRecorder) RequestArrived(request control.Request) {
+	r.arrived = append(r.arrived, request)
+	r.Module.RequestArrived(request)
+}
+
+// The control module learns whether a request is a retry by its client.
+func TestClientRetryReachesControlModule(t *testing.T) {
+	recorder := &requestRecorder{}
+	worker := newFakeWorker(t, "w1", respondServed)
+	h := &harness{t: t, changeLog: newFakeChangeLog(t)}
+	h.changeLog.publish(true, worker.memberJSON("active", 0))
+	h.config = testConfig(t, h.changeLog, "load")
+	h.newModule = func(seed uint64, settings control.Settings, actions control.Actions) control.Module {
+		recorder.Module = control.New(seed, settings, actions)
+		return recorder
+	}
+	h.start()
+	h.waitUntil("the dispatcher is ready", h.dispatcher.Gateway.Ready)
+	h.expect("read", "returned")
+	h.expect("read", "returned", "redo=1")
+	h.onLoop(func() {
+		if len(recorder.arrived) != 2 || recorder.arrived[0].ClientRetry || !recorder.arrived[1].ClientRetry {
+			t.Errorf("%+v", recorder.arrived)
+		}
+	})
+}
--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -9,6 +9,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/eventloop/eventlooptest"
+	"mastchute/internal/gateway"
 	"mastchute/internal/membership"
 )
 
@@ -21,6 +22,7 @@
 	dispatcher *Dispatcher
 	changeLog  *fakeChangeLog
 	config     *ConfigFile
+	newModule  gateway.NewModule // nil for the control module
 }
 
 // testGroups has a model group for each effect: read may be retried, write is deduplicated, once may not be retried.
@@ -77,7 +79,11 @@
 	t.Helper()
 	logger := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)
 	var err error
-	h.dispatcher, err = New(h.config, logger)
+	newModule := h.newModule
+	if newModule == nil {
+		newModule = newControlModule
+	}
+	h.dispatcher, err = newWithModule(h.config, logger, newModule)
 	if err != nil {
 		t.Fatal(err)
 	}
