Ejected workers that drain or are gone no longer count as ejected among the ready ones

After many workers failed and left the list, callers were sent to workers that fail: while most workers are ejected, ejections are ignored, and workers that were gone kept counting as ejected for the 300 s until they are forgotten. Cause: recount counted the ejected of all workers against the ready ones. Evidence: TestEjectionsAreIgnoredWhileMostWorkersAreEjected, extended (three ejected of which one drains and one is gone, two more ready: 1 of 3), on the text before: the ejected worker admits a request. Change: only ready workers count, on both sides.

--- a/control/outlier_test.go
+++ b/control/outlier_test.go
@@ -92,6 +92,13 @@
 			t.Errorf("an ejected worker admits = %t with %d of 3 workers ejected, want %t", !admitted, ejected+1, admitted)
 		}
 	}
+	list[1].State = Draining
+	list[2].State = Gone
+	d.UpdateWorkers(ListSnapshot, 2, append(list, WorkerInfo{ID: 4, State: Ready}, WorkerInfo{ID: 5, State: Ready}))
+	if d.workerAdmits(req, d.workers.all[0]) {
+		t.Error("an ejected worker admits a request with 1 of 3 ready workers ejected: ejected ones that drain or are gone must not count")
+	}
+	d.UpdateWorkers(ListSnapshot, 3, list)
 	d.workers.all[0].outlier.backoffUntil = 2
 	if d.workerAdmits(req, d.workers.all[0]) {
 		t.Error("a worker that backs off admits a request because most workers are ejected")
--- a/control/worker.go
+++ b/control/worker.go
@@ -109,20 +109,21 @@
 	return s.nextIndex - 1
 }
 
-// recount counts the workers listed as ready, and those ejected.
+// recount counts the workers listed as ready, and those of them that are ejected.
 func (s *workerSet) recount() {
 	s.ready = 0
 	s.ejected = 0
 	for _, w := range s.all {
-		if w.State == Ready {
-			s.ready++
+		if w.State != Ready {
+			continue
 		}
+		s.ready++
 		if w.outlier.ejected {
 			s.ejected++
 		}
 	}
 }
 
-// mostEjected reports whether more than half of the workers are ejected. They then probably fail for a common reason and are
+// mostEjected reports whether more than half of the ready workers are ejected. They then probably fail for a common reason and are
 // not outliers.
 func (s *workerSet) mostEjected() bool { return 2*s.ejected > s.ready }
