--- a/internal/cli/lab_soak.go
+++ b/internal/cli/lab_soak.go
@@ -176,13 +176,13 @@
 // shrink removes faults from a failed plan, in successively smaller groups, as long as the same guarantee is still
 // violated. It prints the remaining faults.
 func (c *labSoakCmd) shrink(ctx context.Context, result *soak.Result) error {
-	rule := result.Violations[0].Rule
+	guarantee := result.Violations[0].Guarantee
 	plan := result.Plan
 	for size := (len(plan.Faults) + 1) / 2; size > 0; size /= 2 {
 		for at := 0; at < len(plan.Faults); {
 			reduced := plan
 			reduced.Faults = slices.Delete(slices.Clone(plan.Faults), at, min(at+size, len(plan.Faults)))
-			fails, err := c.violates(ctx, reduced, rule)
+			fails, err := c.violates(ctx, reduced, guarantee)
 			if err != nil {
 				return err
 			}
@@ -193,13 +193,13 @@
 			}
 		}
 	}
-	fmt.Printf("  faults that are needed to violate %s:\n", rule)
+	fmt.Printf("  faults that are needed to violate %s:\n", guarantee)
 	printFaults(plan)
 	return nil
 }
 
-// violates reports whether most of shrinkRuns runs of the plan violate the rule.
-func (c *labSoakCmd) violates(ctx context.Context, plan soak.Plan, rule string) (bool, error) {
+// violates reports whether most of shrinkRuns runs of the plan violate the guarantee.
+func (c *labSoakCmd) violates(ctx context.Context, plan soak.Plan, guarantee string) (bool, error) {
 	failures := 0
 	for range shrinkRuns {
 		result, err := soak.Run(ctx, plan, soak.Options{Binary: c.Binary})
@@ -209,7 +209,7 @@
 		if result.Partial {
 			return false, errStopped
 		}
-		if slices.ContainsFunc(result.Violations, func(violation soak.Violation) bool { return violation.Rule == rule }) {
+		if slices.ContainsFunc(result.Violations, func(violation soak.Violation) bool { return violation.Guarantee == guarantee }) {
 			failures++
 		}
 	}
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -47,7 +47,7 @@
 // Shed rejects a request in such a way that the client may retry it. If a rule forbids that, the request fails.
 func (g *Gateway) Shed(id control.RequestID, retryAfter control.Seconds) {
 	r := g.findRequest(id)
-	if r == nil || r.Responder == nil {
+	if r == nil || r.Writer == nil {
 		return
 	}
 	if reason := rules.CheckShed(r.shedFacts()); reason != rules.Allowed {
@@ -61,7 +61,7 @@
 // Fail fails a request, which may have run.
 func (g *Gateway) Fail(id control.RequestID) {
 	r := g.findRequest(id)
-	if r == nil || r.Responder == nil {
+	if r == nil || r.Writer == nil {
 		return
 	}
 	if g.Loop.Now() > r.deadline-timeoutMargin {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,15 +132,15 @@
 // of a streamed response, which is cut off so that the client notices.
 func (g *Gateway) respondFromAttempt(a *Attempt, result control.Result) {
 	r := a.Request
-	responder := r.Responder
+	writer := r.Writer
 	switch {
 	case result == control.Succeeded:
-		r.Responder = nil
-		responder.WriteResponse(r, a)
+		r.Writer = nil
+		writer.WriteResponse(r, a)
 		g.finishRequest(r, outcomeReturned)
 	case r.streamingAttempt == a:
-		r.Responder = nil
-		responder.WriteFailure(r, false, "the answer was cut short")
+		r.Writer = nil
+		writer.WriteFailure(r, false, "the answer was cut short")
 		g.finishRequest(r, outcomeFailed)
 	}
 }
--- a/internal/gateway/final_response.go
+++ b/internal/gateway/final_response.go
@@ -34,9 +34,9 @@
 
 // shedRequest gives a request the final response that it was rejected and that a retry is harmless.
 func (g *Gateway) shedRequest(r *Request, retryAfter float64) {
-	responder := g.finishAndTakeResponder(r, outcomeShed)
-	if responder != nil {
-		responder.WriteShed(r, retryAfter)
+	writer := g.finishAndTakeWriter(r, outcomeShed)
+	if writer != nil {
+		writer.WriteShed(r, retryAfter)
 	}
 }
 
@@ -47,27 +47,27 @@
 func (g *Gateway) timeOutRequest(r *Request, why string) { g.writeFailure(r, true, why) }
 
 func (g *Gateway) writeFailure(r *Request, timedOut bool, why string) {
-	responder := g.finishAndTakeResponder(r, outcomeFailed)
-	if responder == nil {
+	writer := g.finishAndTakeWriter(r, outcomeFailed)
+	if writer == nil {
 		return
 	}
-	responder.WriteFailure(r, timedOut, why)
+	writer.WriteFailure(r, timedOut, why)
 	if r.streamingAttempt != nil { // WriteFailure has cut the stream off
 		g.finishAttempt(r.streamingAttempt, control.Cancelled)
 	}
 }
 
-// finishAndTakeResponder finishes a request and returns the writer for its final response, which the caller must write. It
+// finishAndTakeWriter finishes a request and returns the writer for its final response, which the caller must write. It
 // returns nil if the request was already finished.
-func (g *Gateway) finishAndTakeResponder(r *Request, o outcome) ResponseWriter {
+func (g *Gateway) finishAndTakeWriter(r *Request, o outcome) ResponseWriter {
 	if r.finished {
 		g.Metrics.countGuard("second_answer")
 		return nil
 	}
-	responder := r.Responder
-	r.Responder = nil
+	writer := r.Writer
+	r.Writer = nil
 	g.finishRequest(r, o)
-	return responder
+	return writer
 }
 
 // finishRequest records the outcome of a request, and cancels its attempts that have not been fully sent, since nothing may be
--- a/internal/gateway/http_test.go
+++ b/internal/gateway/http_test.go
@@ -45,7 +45,7 @@
 	})
 	h.onLoop(func() {
 		s := h.gateway.Status()
-		if s.Workers[0].ReportedInFlight <= 0 || s.InFlight != 0 || s.BufferedBytes != 0 || len(s.Workers[0].WarmModels) != 1 {
+		if s.Workers[0].ReportedInFlight <= 0 || s.InFlight != 0 || s.BufferedBytes != 0 || len(s.Workers[0].LoadedModels) != 1 {
 			t.Errorf("%+v", s)
 		}
 	})
@@ -223,8 +223,8 @@
 // It must run on the loop.
 func (h *harness) unsentToStreamingClient() int {
 	for _, r := range h.gateway.requests {
-		if r.inUse && r.streamingAttempt != nil && r.Responder != nil {
-			return r.Responder.(*httpResponseWriter).exchange.UnsentBytes()
+		if r.inUse && r.streamingAttempt != nil && r.Writer != nil {
+			return r.Writer.(*httpResponseWriter).exchange.UnsentBytes()
 		}
 	}
 	return 0
--- a/internal/gateway/http_workers.go
+++ b/internal/gateway/http_workers.go
@@ -65,7 +65,7 @@
 
 // exchangeOf returns the client's exchange for an attempt whose request has no final response yet.
 func exchangeOf(a *Attempt) *httpconn.Exchange {
-	return a.Request.Responder.(*httpResponseWriter).exchange
+	return a.Request.Writer.(*httpResponseWriter).exchange
 }
 
 // CancelAttempt implements WorkerTransport.
@@ -230,7 +230,7 @@
 // startStreaming starts the client's response with the part of the worker's response that has been received.
 func (h *httpAttempt) startStreaming() {
 	a := h.attempt
-	w := a.Request.Responder.(*httpResponseWriter)
+	w := a.Request.Writer.(*httpResponseWriter)
 	exchange := w.exchange
 	b := w.transport.appendResultHeaders(exchange.StartResponse(h.status), a.Request, outcomeReturned)
 	b = append(b, h.headers...)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -84,23 +84,23 @@
 	m := &Metrics{
 		Registry: r.Registry,
 
-		loadRequests:   r.counter("mastchute_load_orders_total", "Load orders sent to workers."),
+		loadRequests:   r.counter("mastchute_load_orders_total", "Load requests sent to workers."),
 		probes:         r.counter("mastchute_probes_total", "Probes sent to workers."),
-		listFailures:   r.counter("mastchute_roster_failures_total", "Times a source of the list of workers could not be read."),
-		rejections:     r.counterVec("mastchute_refusals_total", "Requests refused before an inference was taken, by reason.", "reason"),
-		guardActions:   r.counterVec("mastchute_guards_total", "Times the host barred what a rule forbids; each is a fault to report.", "guard"),
-		violations:     r.counterVec("mastchute_violations_total", "Acts that the decisions asked for and a rule forbids; barred, and a fault to report.", "rule", "reason"),
+		listFailures:   r.counter("mastchute_roster_failures_total", "Times a source of the endpoint list could not be read."),
+		rejections:     r.counterVec("mastchute_refusals_total", "Requests rejected before they were accepted, by reason.", "reason"),
+		guardActions:   r.counterVec("mastchute_guards_total", "Times the gateway prevented what a rule forbids; each is a bug to report.", "guard"),
+		violations:     r.counterVec("mastchute_violations_total", "Actions of the control module that a rule forbids; they are not executed. Each is a bug to report.", "rule", "reason"),
 		heldBack:       r.counterVec("mastchute_overtaken_total", "Attempts and load requests held back before their first byte, as what the rules allow had changed since they were queued; no fault.", "rule", "reason"),
 		closedUnread:   r.counterVec("mastchute_closed_unread_total", "Client connections closed although bytes may have been unread, by reason.", "reason"),
-		accepted:       r.counterVec("mastchute_taken_total", "Inferences taken.", "group"),
-		outcomes:       r.counterVec("mastchute_answers_total", "Final answers, by kind; left means that the client went first.", "group", "answer"),
-		attempts:       r.counterVec("mastchute_forwards_total", "Forwards to workers.", "worker"),
-		attemptResults: r.counterVec("mastchute_forward_ends_total", "How forwards ended.", "worker", "result"),
+		accepted:       r.counterVec("mastchute_taken_total", "Requests accepted.", "group"),
+		outcomes:       r.counterVec("mastchute_answers_total", "Final responses, by outcome; left means that the client disconnected or cancelled before.", "group", "answer"),
+		attempts:       r.counterVec("mastchute_forwards_total", "Attempts sent to workers.", "worker"),
+		attemptResults: r.counterVec("mastchute_forward_ends_total", "Attempts that ended, by result.", "worker", "result"),
 		workerChecks: r.counterVec("mastchute_worker_checks_total",
-			"Checks of workers whether they accept new work while the endpoint list is not confirmed, by result; full means that it drains.", "result"),
-		listLeaseExpiries: r.counter("mastchute_list_lease_expiries_total", "Times the endpoint list was not confirmed for so long that it was not relied on any more."),
+			"Checks whether workers accept new work while the endpoint list is not confirmed, by result; full means that the worker drains.", "result"),
+		listLeaseExpiries: r.counter("mastchute_list_lease_expiries_total", "Times the lease of the endpoint list expired because it was not confirmed."),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "mastchute_returned_seconds",
-			Help: "Time from taking an inference to its returned answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}, []string{"group"}),
+			Help: "Time from the acceptance of a request to its response, for requests that a worker served.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}, []string{"group"}),
 	}
 	r.MustRegister(m.latency, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.registerLoopGauges(stats)
@@ -109,14 +109,14 @@
 
 // registerLoopGauges registers gauges that read the event loop's counters.
 func (r registrar) registerLoopGauges(stats *eventloop.Stats) {
-	r.gauge("mastchute_connections", "Connections open, to clients and to workers.", func() float64 { return float64(stats.Connections.Load()) })
+	r.gauge("mastchute_connections", "Open connections, to clients and to workers.", func() float64 { return float64(stats.Connections.Load()) })
 	r.gauge("mastchute_accepted_total", "Connections accepted.", func() float64 { return float64(stats.Accepted.Load()) })
-	r.gauge("mastchute_no_descriptor_total", "Times accepting ran out of descriptors.", func() float64 { return float64(stats.DescriptorShortages.Load()) })
-	r.gauge("mastchute_local_failures_total", "System calls that failed for want of the machine's means; they are tried again.", func() float64 { return float64(stats.LocalFailures.Load()) })
-	r.gauge("mastchute_standstills_total", "Times the process stood still for over 0.1 s.", func() float64 { return float64(stats.Stalls.Load()) })
+	r.gauge("mastchute_no_descriptor_total", "Accept calls that failed for lack of descriptors or kernel memory.", func() float64 { return float64(stats.DescriptorShortages.Load()) })
+	r.gauge("mastchute_local_failures_total", "Other system calls that failed for lack of local resources; they are retried.", func() float64 { return float64(stats.LocalFailures.Load()) })
+	r.gauge("mastchute_standstills_total", "Times the process stalled for over 0.1 s.", func() float64 { return float64(stats.Stalls.Load()) })
 	r.gauge("mastchute_loop_turns_total", "Turns of the loop.", func() float64 { return float64(stats.Turns.Load()) })
-	r.gauge("mastchute_loop_late_seconds", "How late the latest timer fired.", func() float64 { return float64(stats.TimerLatenessNs.Load()) / 1e9 })
-	r.gauge("mastchute_loop_longest_turn_seconds", "Longest turn of the loop so far.", func() float64 { return float64(stats.LongestTurnNs.Load()) / 1e9 })
+	r.gauge("mastchute_loop_late_seconds", "Delay of the latest timer.", func() float64 { return float64(stats.TimerLatenessNs.Load()) / 1e9 })
+	r.gauge("mastchute_loop_longest_turn_seconds", "Longest turn of the event loop so far.", func() float64 { return float64(stats.LongestTurnNs.Load()) / 1e9 })
 }
 
 // registerListAge registers the age of the endpoint list as a gauge. clock must be safe for use by any goroutine.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,7 +11,7 @@
 // Request is a client's request in flight: from its acceptance until its final response has been given and the control module
 // has been notified of the end of every attempt. Its record is a reusable slot of the request table.
 type Request struct {
-	Responder ResponseWriter // nil once the final response has been given or the client has disconnected
+	Writer ResponseWriter // nil once the final response has been given or the client has disconnected
 
 	id                 control.RequestID
 	seq                uint64 // sequence number of the request in this process, from 1
@@ -58,12 +58,12 @@
 // Serving reports whether requests are accepted: not during a shutdown, and not after the control module has panicked.
 func (g *Gateway) Serving() bool { return !g.stopping && g.module != nil }
 
-// AcceptRequest accepts a request. From then on the gateway guarantees one final response through responder. tenant is an
+// AcceptRequest accepts a request. From then on the gateway guarantees one final response through writer. tenant is an
 // index in the settings, -1 for none. The group's timeout runs from arrivedAt, the loop time at which the request arrived.
 // details contains the client's parameters and the model's group; AcceptRequest fills in the other fields.
-func (g *Gateway) AcceptRequest(responder ResponseWriter, model *Model, tenant int, arrivedAt float64, details control.Request) *Request {
+func (g *Gateway) AcceptRequest(writer ResponseWriter, model *Model, tenant int, arrivedAt float64, details control.Request) *Request {
 	r := g.allocateRequest()
-	r.Responder = responder
+	r.Writer = writer
 	r.model = model
 	r.group = g.groups[details.Group]
 	r.arrivedAt = arrivedAt
@@ -92,7 +92,7 @@
 	if r == nil || !r.inUse || r.finished {
 		return
 	}
-	r.Responder = nil
+	r.Writer = nil
 	g.finishRequest(r, outcomeClientDisconnected)
 	if r.streamingAttempt != nil {
 		g.finishAttempt(r.streamingAttempt, control.Cancelled)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -53,7 +53,7 @@
 	ConcurrencyLimit          *float64 `json:"concurrency_limit,omitempty"` // limit of this dispatcher's attempts in flight, derived from its rejections; nil for none
 	BackoffTotal              float64  `json:"backoff_total_s"`             // total length of the backoffs after rejections
 	BackoffLeft               float64  `json:"backoff_left_s"`              // until the end of the latest backoff
-	WarmModels                []string `json:"warm"`                        // names of the models assumed to be loaded
+	LoadedModels              []string `json:"warm"`                        // names of the models assumed to be loaded
 
 	// Former keys with the same values, to be removed in the next version.
 	DeprecatedTold  bool    `json:"told"`  // Deprecated: announced
@@ -154,7 +154,7 @@
 		RejectionsWithOwnInFlight: view.RejectionsWithOwnInFlight,
 		BackoffTotal:              view.BackoffTotal,
 		BackoffLeft:               view.BackoffLeft,
-		WarmModels:                []string{},
+		LoadedModels:              []string{},
 	}
 	s.DeprecatedTold = s.Announced
 	s.DeprecatedOut = s.InFlight
@@ -174,7 +174,7 @@
 	for _, id := range view.LoadedModels {
 		model := g.models.byID[id]
 		if model != nil {
-			s.WarmModels = append(s.WarmModels, model.Name)
+			s.LoadedModels = append(s.LoadedModels, model.Name)
 		}
 	}
 	return s
--- a/internal/gateway/workers_test.go
+++ b/internal/gateway/workers_test.go
@@ -43,7 +43,7 @@
 	h.expect("read-1", 200, "returned")
 	h.onLoop(func() { // only the model that the new process has loaded counts as loaded
 		s := h.gateway.Status().Workers[0]
-		if s.Age == nil || *s.Age > 60 || fmt.Sprint(s.WarmModels) != "[read-1]" {
+		if s.Age == nil || *s.Age > 60 || fmt.Sprint(s.LoadedModels) != "[read-1]" {
 			t.Errorf("%+v", s)
 		}
 	})
--- a/internal/platform/change_log_test.go
+++ b/internal/platform/change_log_test.go
@@ -20,7 +20,7 @@
 	h.changeLog.publish(false, worker.memberJSON("active", now))
 	h.waitUntil("the new start is applied", func() bool {
 		status := h.dispatcher.Gateway.Status().Workers[0]
-		return status.Age != nil && *status.Age < 60 && len(status.WarmModels) == 0
+		return status.Age != nil && *status.Age < 60 && len(status.LoadedModels) == 0
 	})
 	conns := worker.connCount()
 	h.expect("read", "returned")
--- a/internal/platform/forwarding_test.go
+++ b/internal/platform/forwarding_test.go
@@ -41,7 +41,7 @@
 	h.waitIdle()
 	h.onLoop(func() {
 		status := h.dispatcher.Gateway.Status().Workers[0]
-		if status.ReportedInFlight <= 0 || len(status.WarmModels) != 1 {
+		if status.ReportedInFlight <= 0 || len(status.LoadedModels) != 1 {
 			t.Errorf("%+v", status)
 		}
 	})
--- a/internal/platform/worker_send.go
+++ b/internal/platform/worker_send.go
@@ -45,7 +45,7 @@
 	tag := call.tag[:call.tagLen]
 	if call.attempt != nil {
 		gatewayRequest := call.attempt.Request
-		request := gatewayRequest.Responder.(*clientRequest)
+		request := gatewayRequest.Writer.(*clientRequest)
 		timeoutMS := rules.WorkerDeadlineMillis(now, gatewayRequest.Deadline())
 		model := []byte(gatewayRequest.Model().Name)
 		return workerproto.AppendInvoke(buf, tag, request.group, model, request.idempotencyKey, timeoutMS, request.body), true
--- a/internal/platform/worker_transport.go
+++ b/internal/platform/worker_transport.go
@@ -40,7 +40,7 @@
 func (t *workerTransport) SendAttempt(attempt *gateway.Attempt) {
 	call := t.resetCall(&attempt.TransportState)
 	call.attempt = attempt
-	call.tagLen = copy(call.tag[:], attempt.Request.Responder.(*clientRequest).id[:])
+	call.tagLen = copy(call.tag[:], attempt.Request.Writer.(*clientRequest).id[:])
 	t.enqueue(call)
 }
 
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -23,11 +23,11 @@
 	// MaxDeadlineAge is the maximum age, in seconds, of an encoded deadline when its message is sent. Rule 1 allows 0.15;
 	// the difference is a margin for the transmission.
 	MaxDeadlineAge = 0.05
-	// MaxPartialAge is the maximum age, in seconds, of an encoded deadline when the rest of its message is sent. It is longer
+	// MaxRemainderAge is the maximum age, in seconds, of an encoded deadline when the rest of its message is sent. It is longer
 	// than MaxDeadlineAge because the part with the deadline has been sent and cannot be encoded again.
-	MaxPartialAge = 0.1
+	MaxRemainderAge = 0.1
 
-	// maxRenewals is how many times a message is encoded again because its deadline is stale. After that, MaxPartialAge
+	// maxRenewals is how many times a message is encoded again because its deadline is stale. After that, MaxRemainderAge
 	// applies instead of MaxDeadlineAge, so that a slow dispatcher still makes progress.
 	maxRenewals = 3
 )
@@ -130,7 +130,7 @@
 	}
 	maxAge := MaxDeadlineAge
 	if renewals >= maxRenewals {
-		maxAge = MaxPartialAge
+		maxAge = MaxRemainderAge
 	}
 	if now-encodedAt > maxAge {
 		return StaleDeadline
@@ -140,7 +140,7 @@
 
 // CheckRemainder returns Allowed if the rest of a partly sent message may be sent.
 func CheckRemainder(now, encodedAt float64) Reason {
-	if now-encodedAt > MaxPartialAge {
+	if now-encodedAt > MaxRemainderAge {
 		return StaleDeadline
 	}
 	return Allowed
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -9,20 +9,20 @@
 
 // Violation is a violated guarantee, or another error that the run detected.
 type Violation struct {
-	Rule        string // number of the guarantee in docs/promises.md, or one of the rules below
+	Guarantee   string // its number in docs/promises.md, or one of the values below
 	Description string
 	At          float64 // s of the run
 }
 
-// Values of Violation.Rule for errors that violate no documented guarantee.
+// Values of Violation.Guarantee for errors that violate no documented guarantee.
 const (
-	ruleLog     = "log"     // a log line that a correct dispatcher does not write
-	ruleHarness = "harness" // the test harness itself failed
+	guaranteeLog     = "log"     // a log line that a correct dispatcher does not write
+	guaranteeHarness = "harness" // the test harness itself failed
 )
 
 // String describes the violation in one line.
 func (v Violation) String() string {
-	return fmt.Sprintf("%s at %.3f s: %s", v.Rule, v.At, v.Description)
+	return fmt.Sprintf("%s at %.3f s: %s", v.Guarantee, v.At, v.Description)
 }
 
 const (
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -95,7 +95,7 @@
 		f.run.checkInvariants()
 		var got []string
 		for _, v := range f.run.violations {
-			got = append(got, v.Rule)
+			got = append(got, v.Guarantee)
 		}
 		if strings.Join(got, " ") != c.want {
 			t.Errorf("%s: %q, want %q", c.name, got, c.want)
--- a/internal/soak/recovery.go
+++ b/internal/soak/recovery.go
@@ -79,7 +79,7 @@
 func (r *runner) checkLog(d *dispatcher) {
 	for _, text := range forbiddenLogTexts {
 		if lines := d.logLines(text); len(lines) > 0 {
-			r.report(ruleLog, 0, "dispatcher %d wrote %d log lines with %q, first: %.300s", d.index, len(lines), text, lines[0])
+			r.report(guaranteeLog, 0, "dispatcher %d wrote %d log lines with %q, first: %.300s", d.index, len(lines), text, lines[0])
 		}
 	}
 }
--- a/internal/soak/resources.go
+++ b/internal/soak/resources.go
@@ -58,7 +58,7 @@
 	time.Sleep(seconds(f.To - f.From))
 	err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil)
 	if err != nil && !errors.Is(err, unix.ESRCH) { // the process may have ended
-		d.run.report(ruleHarness, d.run.history.now(), "could not restore the limit on open descriptors of dispatcher %d: %v", d.index, err)
+		d.run.report(guaranteeHarness, d.run.history.now(), "could not restore the limit on open descriptors of dispatcher %d: %v", d.index, err)
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -262,7 +262,7 @@
 		d.terminate()
 	}
 	if err := d.start(); err != nil {
-		r.report(ruleHarness, r.history.now(), "%s", err)
+		r.report(guaranteeHarness, r.history.now(), "%s", err)
 	}
 }
 
@@ -313,10 +313,10 @@
 }
 
 // report records a violation.
-func (r *runner) report(rule string, at float64, format string, args ...any) {
+func (r *runner) report(guarantee string, at float64, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.violations = append(r.violations, Violation{Rule: rule, Description: fmt.Sprintf(format, args...), At: at})
+	r.violations = append(r.violations, Violation{Guarantee: guarantee, Description: fmt.Sprintf(format, args...), At: at})
 }
 
 // result summarizes the run after its end.
