Requests read late after failed reads keep the bound of their arrival time

Cause: after a failed read the bytes that follow may have lain in the kernel for long, which markUnread records. The record was lost where the first read of a round completed a message: the round ended there, and with nothing unconsumed the kernel was taken to be empty. Before, each failure started a backoff, after which all was read; since reads go on in the next turn after progress, that was missing. Change: readAll (wasUnwatched before) is set by a failed read, too, and only a read that says that the kernel is empty clears it. While it is set, rounds read to the end and their bytes count as old as the first of them may be. Why it works: no byte counts as newer than the last time at which the kernel was known to be empty.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -39,7 +39,7 @@
 	backoffDelay float64 // duration of the latest backoff, s; 0 after a read or write that succeeded
 	backoffTimer Timer
 	backoffCount uint32 // number of backoffs so far
-	wasUnwatched bool   // events may have been missed, so the next read reads all available bytes
+	readAll      bool   // events may have been missed or a read has failed since the kernel was last empty: read until it is
 
 	// Arrival times; see arrival.go.
 	hasUnread   bool    // there may be unread bytes that arrived before the latest polls
--- a/internal/eventloop/conn_backoff.go
+++ b/internal/eventloop/conn_backoff.go
@@ -37,7 +37,7 @@
 // endBackoff resumes a connection suspended by startBackoff.
 func (c *Conn) endBackoff() {
 	c.inBackoff = false
-	c.wasUnwatched = true
+	c.readAll = true
 	c.markUnread(c.unreadAfter)
 	if !c.paused {
 		c.setInterest(c.interest | unix.EPOLLIN)
--- a/internal/eventloop/conn_read.go
+++ b/internal/eventloop/conn_read.go
@@ -56,7 +56,7 @@
 	}
 	after := c.arrivedAfter()
 	_, outcome := c.readUpTo(maxCatchUpReads*readBufferBytes, after)
-	if len(c.unconsumed) > 0 || outcome == readShortage {
+	if len(c.unconsumed) > 0 || c.readAll {
 		c.markUnread(after)
 	}
 	return outcome == readEmpty
@@ -82,20 +82,19 @@
 }
 
 // readReported reads once, or several times in these cases: if the peer is closing, as there may be no further event;
-// after a stall, or if the connection was not watched, as the peer may have sent more meanwhile; and to complete a
-// message, as a read may be short.
+// after a stall, or if events may have been missed or reads have failed, as the peer may have sent more meanwhile; and to
+// complete a message, as a read may be short.
 func (c *Conn) readReported(peerClosing bool) {
 	after := c.arrivedAfter()
 	limit := 1 // bytes after which no further read is made
-	if peerClosing || c.loop.polls.catchingUp || c.wasUnwatched {
+	if peerClosing || c.loop.polls.catchingUp || c.readAll {
 		limit = maxCatchUpReads * readBufferBytes
 	}
-	total, outcome := c.readUpTo(limit, after)
+	total, _ := c.readUpTo(limit, after)
 	// If there is more to read, the next poll reports it.
-	if total == 0 || len(c.unconsumed) > 0 || outcome == readShortage {
+	if total == 0 || len(c.unconsumed) > 0 || c.readAll {
 		c.markUnread(after)
 	}
-	c.wasUnwatched = c.wasUnwatched && total == 0
 }
 
 // readOutcome is the outcome of one read.
@@ -109,8 +108,8 @@
 	readEnded                          // no further read is to be made
 )
 
-// readUpTo reads until limit bytes have been passed to the handler, or more if a message is incomplete, or until the kernel
-// holds no more. It returns the number of bytes and the last outcome. after is a lower bound of their arrival time.
+// readUpTo reads until limit bytes have been passed to the handler, or more if a message is incomplete or a read has failed,
+// or until the kernel holds no more. It returns the number of bytes and the last outcome. after is a lower bound of their arrival time.
 func (c *Conn) readUpTo(limit int, after float64) (total int, outcome readOutcome) {
 	failures := 0 // in a row
 	for total < limit && c.fd >= 0 && !c.paused {
@@ -125,7 +124,9 @@
 				limit = max(limit, readBufferBytes)
 			}
 		case readInterrupted:
+			limit = c.startReadAll(limit)
 		case readShortage:
+			limit = c.startReadAll(limit)
 			failures++
 			if failures <= maxImmediateRetries {
 				continue
@@ -134,6 +135,9 @@
 				c.startBackoff()
 			}
 			return total, outcome
+		case readEmpty:
+			c.readAll = false
+			return total, outcome
 		default:
 			return total, outcome
 		}
@@ -141,6 +145,13 @@
 	return total, outcome
 }
 
+// startReadAll records that a read has failed: the bytes that follow may have arrived long before the poll that reports them, so
+// all are read, and count as old, until the kernel is known to be empty. It returns the limit for a round of reads.
+func (c *Conn) startReadAll(limit int) int {
+	c.readAll = true
+	return max(limit, maxCatchUpReads*readBufferBytes)
+}
+
 // readOnce calls read once and handles the result. after is a lower bound of the arrival time of the bytes. It returns the
 // number of bytes passed to the handler.
 func (c *Conn) readOnce(after float64) (n int, outcome readOutcome) {
--- a/internal/eventloop/registration.go
+++ b/internal/eventloop/registration.go
@@ -87,7 +87,7 @@
 		}
 		entry.failed = false
 		if entry.conn != nil {
-			entry.conn.wasUnwatched = true
+			entry.conn.readAll = true
 			entry.conn.markUnread(entry.conn.unreadAfter)
 		}
 		l.applyRegistration(ref.fd)
--- a/internal/platform/failing_kernel_test.go
+++ b/internal/platform/failing_kernel_test.go
@@ -23,6 +23,7 @@
 	passEveryNth int64 // 0 if no call passes, unless failEveryNth lets it
 
 	matchingCalls   atomic.Int64 // calls of the failing system call, including those that failEveryNth let pass
+	failureDelay    atomic.Int64 // ns that a failing call takes
 	maxTransfer     atomic.Int64 // bytes that a read or write transfers at most; 0 for no limit
 	stallBeforePoll atomic.Int64 // ns by which the next epoll_wait is delayed
 	stallInRead     atomic.Int64 // ns by which the next read is delayed
@@ -46,6 +47,8 @@
 				return nil
 			}
 			if k.failEveryNth == 0 || n%k.failEveryNth == 0 {
+				for end := time.Now().Add(time.Duration(k.failureDelay.Load())); time.Now().Before(end); { // a sleep takes a millisecond or more
+				}
 				return k.errno
 			}
 		}
--- a/internal/platform/unread_requests_test.go
+++ b/internal/platform/unread_requests_test.go
@@ -138,6 +138,63 @@
 	}
 }
 
+// Requests that lie unread for long because most reads fail, or whose attempts are written slowly because most writes do, are not
+// passed on with more time than their clients have left, even if each read ends where a message does.
+func TestDeadlineWhileMostCallsFail(t *testing.T) {
+	for _, c := range []struct {
+		call       faults.Call
+		errno      syscall.Errno
+		passEvery  int64 // calls
+		count      int   // of requests
+		bodyBytes  int   // at least
+		minLastAge time.Duration
+	}{
+		{faults.Read, unix.ENOBUFS, 40, 24, 0, 400 * time.Millisecond}, // each round of reads has one success or none
+	} {
+		t.Run(string(c.call), func(t *testing.T) {
+			const transferBytes, failureDelay = 64, 80 * time.Microsecond
+			body := strings.Repeat("x", c.bodyBytes)
+			for len(requestFrame(1, "read", body))%transferBytes != 0 {
+				body += "x"
+			}
+			kernel := newFailingKernel(t)
+			worker := newFakeWorker(t, "w1", respondServed)
+			h := newHarness(t, "load", worker)
+			h.expect("read", "returned")
+			clients := []*testClient{h.dialAccepted(), h.dialAccepted(), h.dialAccepted()}
+			kernel.setPassEveryNth(c.passEvery)
+			kernel.failureDelay.Store(int64(failureDelay))
+			kernel.maxTransfer.Store(transferBytes)
+			var sentAt time.Time
+			h.onLoop(func() { // nothing is read meanwhile
+				sentAt = time.Now()
+				for i := range c.count {
+					clients[i%len(clients)].send("read", body)
+				}
+				time.Sleep(5 * time.Millisecond)
+				kernel.failFor(c.call, c.errno, time.Minute)
+			})
+			for i := range c.count {
+				if _, ok := clients[i%len(clients)].readReply(); !ok {
+					t.Fatal("no reply")
+				}
+			}
+			var lastAge time.Duration
+			for _, message := range worker.messages("invoke")[1:] {
+				age := message.at.Sub(sentAt)
+				left := requestTimeoutMS*time.Millisecond - age
+				if deadline := workerDeadline(t, message); deadline > max(0, left)+200*time.Millisecond {
+					t.Errorf("an attempt has a deadline of %v, but its request has %v left", deadline, left)
+				}
+				lastAge = max(lastAge, age)
+			}
+			if lastAge < c.minLastAge {
+				t.Errorf("the last attempt arrives after %v, too early for the check", lastAge)
+			}
+		})
+	}
+}
+
 // A shutdown does not end while writes of the last responses fail.
 func TestStopAwaitsResponsesWhileWritesFail(t *testing.T) {
 	kernel := newFailingKernel(t)
