A round of reads or writes of one connection ends after 1,024 calls

Cause: rounds were bounded by bytes, not by calls; an attempt is checked before a write begins, not while it goes on. Change: after maxCallsPerRound the next turn goes on, after a poll and BeforeWrite's checks. Where calls are not short, rounds end by bytes or EAGAIN long before.

--- a/internal/eventloop/conn_read.go
+++ b/internal/eventloop/conn_read.go
@@ -112,7 +112,11 @@
 // or until the kernel holds no more. It returns the number of bytes and the last outcome. after is a lower bound of their arrival time.
 func (c *Conn) readUpTo(limit int, after float64) (total int, outcome readOutcome) {
 	failures := 0 // in a row
-	for total < limit && c.fd >= 0 && !c.paused {
+	for calls := 0; total < limit && c.fd >= 0 && !c.paused; calls++ {
+		if calls == maxCallsPerRound {
+			c.readAll = true
+			return total, outcome
+		}
 		var n int
 		n, outcome = c.readOnce(after)
 		total += n
--- a/internal/eventloop/conn_write.go
+++ b/internal/eventloop/conn_write.go
@@ -82,7 +82,11 @@
 func (c *Conn) writeQueued() bool {
 	failures := 0 // in a row, for lack of memory
 	sentBefore := c.sentBytes
-	for c.outgoingSent < len(c.outgoing) {
+	for calls := 0; c.outgoingSent < len(c.outgoing); calls++ {
+		if calls == maxCallsPerRound {
+			c.awaitWritable()
+			return false
+		}
 		n, err := c.loop.kernel.Write(c.fd, c.outgoing[c.outgoingSent:])
 		switch err {
 		case nil:
@@ -92,8 +96,7 @@
 			failures = 0
 		case unix.EINTR:
 		case unix.EAGAIN:
-			c.writeBlocked = true
-			c.setInterest(c.interest | unix.EPOLLOUT)
+			c.awaitWritable()
 			return false
 		case unix.ENOBUFS, unix.ENOMEM:
 			c.loop.Stats.LocalFailures.Add(1)
@@ -101,11 +104,11 @@
 			if failures <= maxImmediateRetries {
 				continue
 			}
-			c.writeBlocked = true
 			if c.sentBytes == sentBefore {
+				c.writeBlocked = true
 				c.startBackoff()
 			} else {
-				c.setInterest(c.interest | unix.EPOLLOUT)
+				c.awaitWritable()
 			}
 			return false
 		default:
@@ -117,6 +120,12 @@
 	return true
 }
 
+// awaitWritable continues to write once a poll reports that the kernel accepts bytes.
+func (c *Conn) awaitWritable() {
+	c.writeBlocked = true
+	c.setInterest(c.interest | unix.EPOLLOUT)
+}
+
 // finishFlush is called when the kernel has accepted all queued bytes. It shuts down a lingering connection, or calls
 // Flushed.
 func (c *Conn) finishFlush() {
--- a/internal/eventloop/constants.go
+++ b/internal/eventloop/constants.go
@@ -13,6 +13,7 @@
 	maxRoundsPerTurn     = 8        // rounds of deferred work, AfterEvents and writes in one turn
 	maxExtraPollsPerTurn = 2        // polls repeated within one turn because the previous one is stale; see pollIsStale
 	maxCatchUpReads      = 16       // reads of a full buffer from one connection while catching up
+	maxCallsPerRound     = 1024     // reads or writes of one connection in a row, which may be short or fail
 	maxImmediateRetries  = 32       // failures in a row, for lack of kernel memory, of a read or write before a backoff
 )
 
--- a/internal/platform/unread_requests_test.go
+++ b/internal/platform/unread_requests_test.go
@@ -150,6 +150,7 @@
 		minLastAge time.Duration
 	}{
 		{faults.Read, unix.ENOBUFS, 40, 24, 0, 400 * time.Millisecond}, // each round of reads has one success or none
+		{faults.Write, unix.EINTR, 10, 30, 1500, 400 * time.Millisecond},
 	} {
 		t.Run(string(c.call), func(t *testing.T) {
 			const transferBytes, failureDelay = 64, 80 * time.Microsecond
