--- a/internal/cli/lab_soak.go
+++ b/internal/cli/lab_soak.go
@@ -49,14 +49,7 @@
 	coverage := map[string]int{}
 	failedRuns := 0
 	for i := range c.Seeds {
-		draw := soak.Draw
-		switch {
-		case c.Outage:
-			draw = soak.DrawOutage
-		case c.Stops:
-			draw = soak.DrawStops
-		}
-		result, err := c.runPlan(ctx, draw(c.Seed+uint64(i), bounds))
+		result, err := c.runPlan(ctx, c.draw(c.Seed+uint64(i), bounds))
 		if err != nil {
 			return err
 		}
@@ -86,6 +79,17 @@
 	return nil
 }
 
+// draw draws the plan of a seed.
+func (c *labSoakCmd) draw(seed uint64, bounds soak.Bounds) soak.Plan {
+	switch {
+	case c.Outage:
+		return soak.DrawOutage(seed, bounds)
+	case c.Stops:
+		return soak.DrawStops(seed, bounds)
+	}
+	return soak.Draw(seed, bounds)
+}
+
 func (c *labSoakCmd) bounds() (soak.Bounds, error) {
 	bounds := soak.Bounds{Dispatchers: c.Dispatchers, Duration: c.Span, SyscallFaults: c.SyscallFaults}
 	for _, name := range c.Only {
