A client connection is not closed as idle before its last response is sent

Cause: a stop, an eviction for want of descriptors, and over HTTP every idle close, closed a connection whose last response was still queued. It then lingered: no response could follow, and requests that came in were read and discarded. Change: readUntilQuiet wants nothing unread and nothing unsent; such a connection is looked at again 20 to 50 ms later, and eviction passes on to others. With nothing queued the close is immediate, so a request that crosses it is not read. Tests, on the text before: TestIdleCloseAwaitsUnsentResponses/drain and /eviction: no reply to the second request. TestEvictionPassesOverUnsentResponses guards eviction beside such connections.

--- a/internal/httpconn/server_conn.go
+++ b/internal/httpconn/server_conn.go
@@ -83,9 +83,11 @@
 	}
 	exchange = c.exchange
 	switch {
-	case c.isIdle():
-		c.tcp.CloseFlushed()
+	case c.isIdle() && c.tcp.UnsentBytes() == 0: // a request that crosses with the close stays unread
+		c.tcp.Close()
 		c.release()
+	case c.isIdle():
+		c.server.Loop.StartTimer(&c.timer, closeRetryDelay)
 	case exchange == nil:
 		c.reject(errHeadTimeout)
 	case !exchange.requestComplete:
--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -40,9 +40,11 @@
 		if idle == nil {
 			return false
 		}
-		empty := idle.conn.ReadNow()
+		quiet := idle.readUntilQuiet()
 		if !idle.closed {
-			if !empty || idle.isBusy() {
+			if !quiet || idle.isBusy() {
+				idle.unlink()
+				idle.linkNewest() // others are tried first
 				continue
 			}
 			t.countDrop(reasonIdleClosed)
--- a/internal/platform/client_capacity_test.go
+++ b/internal/platform/client_capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 )
 
 // Connections beyond the limit are accepted in place of idle ones; connections with requests in flight stay open.
@@ -102,3 +103,33 @@
 		t.Errorf("%d connections evicted", n)
 	}
 }
+
+// Connections that cannot be closed at once do not keep others from being evicted.
+func TestEvictionPassesOverUnsentResponses(t *testing.T) {
+	h := newHarness(t, "load", newFakeWorker(t, "w1", ignore))
+	var blocked []*testClient
+	for range maxIdleCandidates - 1 {
+		blocked = append(blocked, h.dialAccepted())
+	}
+	idle := h.dialAccepted()
+	h.onLoop(func() {
+		clients := h.dispatcher.clients
+		clients.maxInFlight = 0
+		for _, client := range blocked {
+			client.send("once", "in")
+		}
+		time.Sleep(5 * time.Millisecond)
+		clients.maxConns = clients.connCount
+		if !clients.closeLongestIdle() {
+			t.Error("no connection was evicted")
+		}
+	})
+	for _, client := range blocked {
+		if reply, ok := client.readReply(); !ok || replyKind(reply) != "shed" {
+			t.Errorf("%+v, open %v", reply, ok)
+		}
+	}
+	if _, ok := idle.readReply(); ok {
+		t.Error("the idle connection was not evicted")
+	}
+}
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -10,7 +10,7 @@
 	firstMessageTimeout   = 1.5       // s until the first message: clients connect when they have a request
 	partialMessageTimeout = 1.0       // s that a message may take to arrive completely: a client sends it with one write
 	clientIdleTimeout     = 20.0      // s without a message after which a connection is closed: clients close it after a few seconds
-	closeRetryDelay       = 0.05      // s until the next check of a connection whose timeout has passed while reads fail
+	closeRetryDelay       = 0.05      // s until the next check of a connection that could not be closed after its timeout
 	maxScratchBytes       = 64 << 10  // bytes of capacity beyond which the scratch buffer is not kept
 	maxUnreadBytes        = 512 << 10 // bytes of responses unread by the client beyond which its connection is closed
 )
@@ -200,12 +200,20 @@
 	}
 }
 
+// readUntilQuiet handles the bytes that the kernel holds, and reports whether the connection can be closed at once with nothing
+// unread and nothing unsent. While reads fail, requests may be unread. While a response is unsent, a close would wait for it,
+// and a request that arrives meanwhile would be read and discarded.
+func (c *clientConn) readUntilQuiet() bool {
+	empty := c.conn.ReadNow()
+	return empty && c.conn.UnsentBytes() == 0
+}
+
 // timerExpired closes a connection after its timeout, unless bytes that arrived in time are or may be unread.
 func (c *clientConn) timerExpired() {
 	wasPartial := c.partialMessage
 	readsBefore := c.readCount
 	backoffsAtStart := c.backoffsAtStart
-	empty := c.conn.ReadNow()
+	quiet := c.readUntilQuiet()
 	if c.closed {
 		return
 	}
@@ -215,7 +223,7 @@
 		return
 	}
 	switch {
-	case !empty:
+	case !quiet:
 		c.transport.loop.StartTimer(&c.timer, closeRetryDelay)
 	case c.partialMessage && c.conn.BackoffCount() != backoffsAtStart: // reads failed locally: the client is not at fault
 		c.resetTimer(true)
--- a/internal/platform/client_transport.go
+++ b/internal/platform/client_transport.go
@@ -169,13 +169,11 @@
 	t.loop.StartTimer(&t.drainTimer, interval)
 }
 
-// closeIdle closes the idle connections, after handling bytes that are still unread in the kernel. A connection stays open
-// while reads fail, so that unread requests are not discarded. A connection with a partial message stays open until its
-// timeout, and a new connection while its first message may be under way.
+// closeIdle closes the idle connections, after handling bytes that are still unread in the kernel. A connection with a partial
+// message stays open until its timeout, and a new connection while its first message may be under way.
 func (t *clientTransport) closeIdle() {
 	for _, c := range t.openClientConns() {
-		empty := c.conn.ReadNow()
-		if empty && !c.partialMessage && c.evictable() {
+		if c.readUntilQuiet() && !c.partialMessage && c.evictable() {
 			c.close(reasonDrained)
 		}
 	}
--- a/internal/platform/unread_requests_test.go
+++ b/internal/platform/unread_requests_test.go
@@ -92,13 +92,8 @@
 // Neither an idle timeout nor a shortage of descriptors closes connections whose requests are unread because reads fail.
 func TestIdleCloseSparesConnectionsWhileReadsFail(t *testing.T) {
 	for name, closeIdle := range map[string]func(h *harness){
-		"idle timeout": func(h *harness) {
-			for _, conn := range h.clientConns() {
-				h.dispatcher.Loop.CancelTimer(&conn.timer)
-				conn.timerExpired()
-			}
-		},
-		"eviction": func(h *harness) { h.dispatcher.clients.closeLongestIdle() },
+		"idle timeout": expireClientTimers,
+		"eviction":     func(h *harness) { h.dispatcher.clients.closeLongestIdle() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			kernel := newFailingKernel(t)
@@ -110,6 +105,40 @@
 	}
 }
 
+// A request that arrives while the response to the one before it is unsent is neither read and discarded nor closed upon.
+func TestIdleCloseAwaitsUnsentResponses(t *testing.T) {
+	for name, closeIdle := range map[string]func(h *harness){
+		"drain":        func(h *harness) { h.dispatcher.clients.closeIdle() },
+		"idle timeout": expireClientTimers,
+		"eviction":     func(h *harness) { h.dispatcher.clients.closeLongestIdle() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "load", newFakeWorker(t, "w1", ignore))
+			client := h.dialAccepted()
+			h.onLoop(func() { // the request is read by closeIdle, and is shed because the table is full
+				h.dispatcher.clients.maxInFlight = 0
+				client.send("once", "in")
+				time.Sleep(5 * time.Millisecond)
+				closeIdle(h)
+			})
+			client.send("once", "in")
+			for range 2 {
+				if reply, ok := client.readReply(); !ok || replyKind(reply) != "shed" {
+					t.Errorf("%+v, open %v", reply, ok)
+				}
+			}
+		})
+	}
+}
+
+// expireClientTimers makes the timeouts of all clients' connections expire.
+func expireClientTimers(h *harness) {
+	for _, conn := range h.clientConns() {
+		h.dispatcher.Loop.CancelTimer(&conn.timer)
+		conn.timerExpired()
+	}
+}
+
 // Requests keep being read and answered while most reads and writes fail for lack of memory and the others are short.
 func TestRequestsAreReadWhileMostReadsFail(t *testing.T) {
 	for _, call := range []faults.Call{faults.Read, faults.Write} {
