--- a/internal/platform/failing_kernel_test.go
+++ b/internal/platform/failing_kernel_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,8 +48,7 @@
 				return nil
 			}
 			if k.failEveryNth == 0 || n%k.failEveryNth == 0 {
-				for end := time.Now().Add(time.Duration(k.failureDelay.Load())); time.Now().Before(end); { // a sleep takes a millisecond or more
-				}
+				spin(time.Duration(k.failureDelay.Load()))
 				return k.errno
 			}
 		}
@@ -65,6 +65,13 @@
 	return k
 }
 
+// spin waits for a duration that may be shorter than the shortest sleep.
+func spin(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		runtime.Gosched()
+	}
+}
+
 // failFor makes a system call fail with errno for the given duration from now.
 func (k *failingKernel) failFor(call faults.Call, errno syscall.Errno, duration time.Duration) {
 	k.mu.Lock()
