--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -14,7 +14,7 @@
 
 const (
 	loadTime = 640 * time.Millisecond
-	runTime  = 6 * time.Millisecond
+	runTime  = 4 * time.Millisecond
 )
 
 // attempt is an attempt as it reached a runner.
