--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 test -x bin/mastchute || { echo "not run: build the program first, by the build command of deploy/balancer.toml"; exit 2; }
 test -x review/bin/cases || sh review/build.sh || exit 2
-exec review/bin/cases -case late-attempt -record review/2/record.txt
+exec review/bin/cases -case other-cell -record review/2/record.txt
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -92,11 +92,11 @@
 }
 
 func main() {
-	name := flag.String("case", "", "late-attempt or other-cell")
+	name := flag.String("case", "", "other-cell, late-attempt or late-list")
 	root := flag.String("root", ".", "the repository's root")
 	path := flag.String("record", "record.txt", "the record's file")
 	flag.Parse()
-	cases := map[string]func(*environment) (bool, error){"late-attempt": lateAttempt, "other-cell": otherCell}
+	cases := map[string]func(*environment) (bool, error){"late-attempt": lateAttempt, "other-cell": otherCell, "late-list": lateList}
 	run := cases[*name]
 	if run == nil {
 		fmt.Println("not run: no such case")
--- a/review/cases/other_cell.go
+++ b/review/cases/other_cell.go
@@ -19,8 +19,9 @@
 	toldAfter       = 7.0 // s from the begin of the outage
 )
 
-// otherCellSettings returns the settings: two model groups, one dispatcher.
-func otherCellSettings() map[string]any {
+// otherCellSettings returns the settings: two model groups, one dispatcher. hedge tells whether two attempts of a request may
+// be out at the same time.
+func otherCellSettings(hedge bool) map[string]any {
 	class := func(name, effect, scope string, deadline time.Duration) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "aim_us": 800_000, "deadline_us": deadline.Microseconds(),
 			"group": scope, "window_us": cellWindow.Microseconds(), "gain": 2, "late_worth": 0.1, "stream": false}
@@ -31,7 +32,7 @@
 		"family": "warm", "weight_source": "nominal", "worth_by": "request", "tenants": []any{},
 		"family_info": map[string]any{"when_absent": "load", "may_order": true, "stays_loaded_us": 8_600_000, "order_limit_us": 10_000_000, "marks_cold": true},
 		"load_report": map[string]any{"fields": []string{}, "via": "answers"},
-		"limits": map[string]any{"cancel": true, "parallel_tries": true, "probing": false, "retry_after": true, "max_retry_after_us": 500_000,
+		"limits": map[string]any{"cancel": true, "parallel_tries": hedge, "probing": false, "retry_after": true, "max_retry_after_us": 500_000,
 			"max_attempts": 6, "streams_per_conn": 100, "conn_idle_us": 15_000_000, "connect_timeout_us": 250_000, "open_cap": 20_000},
 		"rules": map[string]any{"drain_grace_us": 500_000, "cold_share": 0.17, "warm_after_us": 17_000_000, "overload_factor": 4, "fall_us": 2_000_000,
 			"ask_every_us": 10_000_000, "answer_slack_us": 8000},
@@ -46,11 +47,11 @@
 	if err != nil {
 		return false, err
 	}
-	d, err := e.startDispatcher(otherCellSettings())
+	d, err := e.startDispatcher(otherCellSettings(true))
 	if err != nil {
 		return false, err
 	}
-	load, err := startUpdates(e.rec, d.address)
+	load, err := startUpdates(e.rec, d.address, updatesInterval)
 	if err != nil {
 		return false, err
 	}
@@ -107,23 +108,29 @@
 	return append(runners, replacement), nil
 }
 
+// updateConnections is the number of the clients' connections: each carries at most 32 open requests.
+const updateConnections = 8
+
 // updates is the load of the case.
 type updates struct {
-	client   *client
 	stopChan chan struct{}
 	ended    chan struct{}
 	requests []*request
 }
 
-// startUpdates sends deduped requests at regular intervals.
-func startUpdates(rec *record, address string) (*updates, error) {
-	c, err := dialClient(rec, address)
-	if err != nil {
-		return nil, err
+// startUpdates sends deduped requests at regular intervals, in turn on several connections.
+func startUpdates(rec *record, address string, interval time.Duration) (*updates, error) {
+	var clients []*client
+	for range updateConnections {
+		c, err := dialClient(rec, address)
+		if err != nil {
+			return nil, err
+		}
+		clients = append(clients, c)
 	}
-	u := &updates{client: c, stopChan: make(chan struct{}), ended: make(chan struct{})}
+	u := &updates{stopChan: make(chan struct{}), ended: make(chan struct{})}
 	var models []string
-	for range 12 {
+	for range 40 {
 		models = append(models, randomHex())
 	}
 	go func() {
@@ -132,11 +139,11 @@
 			select {
 			case <-u.stopChan:
 				return
-			case <-time.After(updatesInterval):
+			case <-time.After(interval):
 			}
 			r := newRequest("record-update", models[i%len(models)], randomHex()+randomHex(), updateDeadline)
 			u.requests = append(u.requests, r)
-			c.send(r)
+			clients[i%len(clients)].send(r)
 		}
 	}()
 	return u, nil
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -14,7 +14,7 @@
 
 const (
 	loadTime = 640 * time.Millisecond
-	runTime  = 4 * time.Millisecond
+	shortRun = 4 * time.Millisecond // the run time of a request unless a case sets another
 )
 
 // attempt is an attempt as it reached a runner.
@@ -55,6 +55,8 @@
 	name     string
 	rec      *record
 	group    *group
+	runTime  time.Duration
+	toldAt   float64 // when the change log told of a runner that replaced another one, 0 for others
 	listener *net.TCPListener
 
 	// loseAnswer reports whether the answer to an attempt gets lost on its way, and resetUnder whether the connection is
@@ -79,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{name: name, rec: rec, group: g, listener: listener.(*net.TCPListener), loaded: map[string]time.Time{}, conns: map[net.Conn]bool{}}
+	r := &runner{name: name, rec: rec, group: g, runTime: shortRun, listener: listener.(*net.TCPListener), loaded: map[string]time.Time{}, conns: map[net.Conn]bool{}}
 	r.link = sync.NewCond(&r.linkMu)
 	go r.accept()
 	return r, nil
@@ -309,7 +311,7 @@
 	r.awaitLink()
 	repeat := a.key != "" && r.group.isRepeat(a.key)
 	note := r.load(model)
-	time.Sleep(runTime)
+	time.Sleep(r.runTime)
 	if repeat {
 		r.rec.add("runner %s drops    repeat  %s key %s", r.name, a.id, a.key)
 	} else {
@@ -318,7 +320,10 @@
 		r.runs = append(r.runs, a)
 		r.mu.Unlock()
 	}
-	if r.resetUnder != nil && r.resetUnder(a) {
+	r.mu.Lock()
+	resetUnder := r.resetUnder
+	r.mu.Unlock()
+	if resetUnder != nil && resetUnder(a) {
 		r.rec.add("runner %s resets the connection of attempt %s", r.name, a.id)
 		reset(c.conn)
 		return
