A repeat goes only to a process that is certainly the listed one while discovery is down

While discovery was down, a runner of another cell had taken the address of a listed one, and got repeats that were meant for it.

Cause: the deduplication scope was that of the entry for which an attempt was meant, in control (inDedupScope) and in the gateway's guard (dedupScopeCovers). The lease of a worker, which its responses renew, shows that something at the address accepts work, and was taken to show that it is the same process.

Ruled out: the lease of the list (it has ended by then), the order of events in control (with the scope of the processes given, control chooses right: testdata/incarnations.txt).

Why it works: once changes may count as notified that the list does not contain, only a connection established before the list was last confirmed shows that the process is the same. The facts for rule 2 are now those of the connections that the attempts have used (internal/incarnation), checked again at the first byte; the transport picks such a connection or gives the attempt back as never sent. control gets WorkerIdentified and AttemptTraced and decides on its own. First attempts, retriable requests, the scope all, and what certainly never ran go as before.

TestDedupWindowStart passes the attempt in place of its index; its checks are the same.

--- a/control/api.go
+++ b/control/api.go
@@ -72,6 +72,12 @@
 	ListLeaseChanged(lease ListLease)
 	// ConnectionsLost records that the connections to a worker were reset or refused.
 	ConnectionsLost(worker WorkerID)
+	// WorkerIdentified records whether an attempt at a worker certainly reaches the process of its entry in the endpoint
+	// list. Before the first call, it does.
+	WorkerIdentified(worker WorkerID, identified bool)
+	// AttemptTraced records the group that an attempt has reached, if it is not the one of its worker's entry when it was
+	// scheduled. A later call replaces an earlier one.
+	AttemptTraced(id RequestID, attempt int, group DedupGroup)
 	// PeerMessageReceived records a gossip message.
 	PeerMessageReceived(from PeerID, message []byte)
 	// TimerFired records that the delay passed to SetTimer has elapsed.
--- a/control/events.go
+++ b/control/events.go
@@ -59,6 +59,13 @@
 	StartedAt Seconds // time of the latest start, -Inf if it was long ago or is unknown
 }
 
+// DedupGroup is the place of the worker process that an attempt has reached, which decides which workers drop its repeats.
+type DedupGroup struct {
+	Zone  ZoneID
+	Cell  CellID
+	Known bool // false if the process may be that of any worker
+}
+
 // EndpointListKind is the kind of a watch event of the endpoint list.
 type EndpointListKind uint8
 
--- a/control/membership.go
+++ b/control/membership.go
@@ -64,14 +64,15 @@
 }
 
 // rescheduleUnsentAttempts places requests again whose attempts are not sent yet, if the worker has since become draining or
-// gone, has restarted or has lost its lease. Such attempts were scheduled by earlier events since the last Reconcile.
+// gone, has restarted or has lost its lease, or may no longer drop the repeat. Such attempts were scheduled by earlier events
+// since the last Reconcile.
 func (d *Dispatcher) rescheduleUnsentAttempts() {
 	for _, req := range d.pending.requests {
 		if req.state != stateAttempt {
 			continue
 		}
 		unsent := req.latestAttempt()
-		if unsent.worker.State == Ready && d.leaseValid(unsent.worker) && unsent.sentAt > unsent.worker.StartedAt {
+		if d.mayStillSend(req, unsent) {
 			continue
 		}
 		d.retractAttempt(req)
@@ -81,3 +82,12 @@
 		}
 	}
 }
+
+// mayStillSend reports whether the latest attempt of a request, which has not been sent yet, may still be sent.
+func (d *Dispatcher) mayStillSend(req *request, unsent *attempt) bool {
+	target := unsent.worker
+	if target.State != Ready || !d.leaseValid(target) || unsent.sentAt <= target.StartedAt {
+		return false
+	}
+	return req.group.effect == Retriable || d.mayRepeat(req, req.attempts[:req.attempted-1], target)
+}
--- a/control/placement.go
+++ b/control/placement.go
@@ -329,6 +329,7 @@
 	added := &req.attempts[req.attempted]
 	*added = attempt{
 		worker:           destination,
+		group:            destination.dedupGroup(),
 		sentAt:           d.now,
 		runTime:          requested.runTime,
 		expectedDuration: destination.ledger.queuedWork + requested.runTime,
--- a/control/request.go
+++ b/control/request.go
@@ -24,6 +24,7 @@
 // attempt is one transmission of a request to a worker.
 type attempt struct {
 	worker           *worker
+	group            DedupGroup // of the process that it has reached or, before it is sent, is expected to reach
 	sentAt           Seconds
 	expectedDuration Seconds // expected response time when it was scheduled
 	runTime          Seconds // expected run time, which the worker's ledger reserves
--- a/control/rules.go
+++ b/control/rules.go
@@ -16,22 +16,33 @@
 	if req.attempted >= d.maxAttempts || req.inFlight > 0 && !d.hedgingAllowed {
 		return false
 	}
-	earlier := req.mayHaveRun() // the earliest decides: later attempts were made within its scope
-	if earlier == nil || req.group.effect == Retriable {
-		return true
+	return req.group.effect == Retriable || d.mayRepeat(req, req.attempts[:req.attempted], target)
+}
+
+// mayRepeat reports whether an attempt at a worker cannot run a request twice that is not retriable, given other attempts of
+// the request: the worker drops the repeat of each one that may have run or is in flight.
+func (d *Dispatcher) mayRepeat(req *request, others []attempt, target *worker) bool {
+	for i := range others {
+		other := &others[i]
+		if other.state == attemptNeverRan {
+			continue
+		}
+		if !d.withinDedupWindow(req, other) || !inDedupScope(req.group.dedupScope, other.group, target.dedupGroup()) {
+			return false
+		}
 	}
-	return d.withinDedupWindow(req, earlier) && inDedupScope(req.group.dedupScope, earlier.worker, target)
+	return true
 }
 
-// inDedupScope reports whether the target worker drops a repeat of a request that the earlier worker may have run.
-func inDedupScope(scope DedupScope, earlier, target *worker) bool {
+// inDedupScope reports whether a worker of one group drops a repeat of a request that a worker of another may have run.
+func inDedupScope(scope DedupScope, earlier, target DedupGroup) bool {
 	switch scope {
 	case ScopeAll:
 		return true
 	case ScopeZone:
-		return earlier.Zone == target.Zone
+		return earlier.Known && target.Known && earlier.Zone == target.Zone
 	case ScopeCell:
-		return earlier.Zone == target.Zone && earlier.Cell == target.Cell
+		return earlier.Known && target.Known && earlier.Zone == target.Zone && earlier.Cell == target.Cell
 	default:
 		return false
 	}
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -23,6 +23,8 @@
 //	checked WORKER RESULT [lease=T]    a check of a worker ends
 //	list-lease CONFIRMED NOTIFIED END  sets the times of the endpoint list's lease
 //	connections-lost WORKER            the connections to a worker are reset
+//	identified WORKER true|false       attempts at a worker certainly reach its process, or may reach another one
+//	traced N.A unknown|zone=N,cell=N   attempt A of request N has reached a worker of a group
 //	client-cancels N                   the client cancels request N
 //	discovery-failed                   a call to discovery fails
 //	wait S                             advances the time by S and fires the timers that are due
@@ -130,6 +132,8 @@
 		"checked":          p.playChecked,
 		"list-lease":       p.playListLease,
 		"connections-lost": func(args []string) { p.event(func() { p.d.ConnectionsLost(p.worker(args[0])) }) },
+		"identified":       func(args []string) { p.event(func() { p.d.WorkerIdentified(p.worker(args[0]), args[1] == "true") }) },
+		"traced":           p.playTraced,
 		"client-cancels":   func(args []string) { p.event(func() { p.d.RequestCancelled(RequestID(num(args[0], 0))) }) },
 		"discovery-failed": func([]string) { p.event(func() { p.d.UpdateWorkers(ListFailed, 0, nil) }) },
 		"expect":           func(args []string) { p.expect(line, args) },
@@ -203,6 +207,13 @@
 	})
 }
 
+func (p *player) playTraced(args []string) {
+	id, number, _ := strings.Cut(args[0], ".")
+	place := options(strings.Split(args[1], ","))
+	group := DedupGroup{Zone: ZoneID(num(place["zone"], 0)), Cell: CellID(num(place["cell"], 0)), Known: args[1] != "unknown"}
+	p.event(func() { p.d.AttemptTraced(RequestID(num(id, 0)), int(num(number, 0)), group) })
+}
+
 func (p *player) playListLease(args []string) {
 	p.event(func() {
 		p.d.ListLeaseChanged(ListLease{ConfirmedAt: num(args[0], 0), NotifiedBy: num(args[1], 0), Until: num(args[2], 0)})
--- a/control/worker.go
+++ b/control/worker.go
@@ -19,6 +19,7 @@
 	rejections       rejectionCounts
 	concurrency      concurrencyLimiter
 	score            placementScore
+	unidentified     bool         // an attempt may reach another process than that of the entry
 	lease            *workerLease // stored separately, as placements visit all workers and read it only while discovery is unavailable
 }
 
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -25,7 +25,9 @@
 	a := g.addAttempt(r, w)
 	w.metrics.attempts.Inc()
 	g.RecordEvent("attempt_started", "", r, w, timeout)
-	facts := r.attemptFacts(w, a.Index)
+	a.reportedGroup = w.dedupGroup()
+	a.reportedGroup.Known = !w.unidentified
+	facts := r.attemptFacts(a, g.groupExpected(w, a.createdAt), a.createdAt)
 	if reason := rules.CheckAttempt(a.createdAt, facts, w.facts(g)); reason != rules.Allowed {
 		g.Metrics.countGuard("forward_barred")
 		g.recordViolation(reason, "attempt", r, w)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,8 @@
 		a.ResponseBody = nil
 	}
 	a.Response = WorkerResponse{}
+	a.sentAt = 0
+	a.sentOn = nil
 	a.finished = false
 	a.blocked = false
 	g.freeAttempts = append(g.freeAttempts, a)
@@ -80,6 +82,7 @@
 	if a == nil || a.finished {
 		return
 	}
+	a.recordSent()
 	a.finished = true
 	if result == control.TimedOut || result == control.Cancelled || result == control.NotSent {
 		result = a.cancelAtTransport(result)
@@ -114,6 +117,15 @@
 	g.pendingCompletions = append(g.pendingCompletions, completion{request: r, attempt: a, result: report})
 }
 
+// recordSent records when and to which connection an attempt was written that is about to finish.
+func (a *Attempt) recordSent() {
+	if a.blocked {
+		return
+	}
+	a.sentAt = a.Worker.transport.SentAt(a)
+	a.sentOn = a.Worker.transport.ConnectionOf(a)
+}
+
 // cancelAtTransport cancels an attempt in its transport, and returns its result: NotSent instead of the given result if the
 // attempt was never written to an established connection, unless it timed out.
 func (a *Attempt) cancelAtTransport(result control.Result) control.Result {
@@ -154,6 +166,7 @@
 		if entry.attempt != nil {
 			entry.request.unreportedAttempts--
 			entry.result.RequestFinished = entry.request.finished
+			g.traceAttempt(entry.attempt)
 			g.deliverAttemptResult(&entry.result)
 		}
 	}
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -34,6 +34,17 @@
 		return false
 	}
 	delete(g.workers, member.ID)
+	g.evictAddress(w)
 	g.Metrics.deleteWorker(member.Name)
 	return true
 }
+
+// evictAddress removes the record of an evicted worker's address, unless another worker is listed there.
+func (g *Gateway) evictAddress(evicted *Worker) {
+	for _, w := range g.workers {
+		if w.address == evicted.address {
+			return
+		}
+	}
+	delete(g.addresses, evicted.transportAddr)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -20,6 +21,7 @@
 	"mastchute/internal/config"
 	"mastchute/internal/eventloop"
 	"mastchute/internal/flightrecorder"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/lease"
 	"mastchute/internal/membership"
 )
@@ -56,12 +58,15 @@
 	leaseTerms     lease.Terms
 	listLease      lease.List
 	listLeaseTimer eventloop.Timer                 // fires at the end of listLease
+	listDoubtTimer eventloop.Timer                 // fires when changes may count as notified that the list does not contain
+	listInDoubt    bool                            // that time has come
 	listLeaseEnded bool                            // the end of listLease has been logged
 	checkCounts    [control.ModelNotLoaded + 1]int // finished checks of workers, by result
 
 	models    modelCache
 	maxModels int
 	workers   map[control.WorkerID]*Worker
+	addresses map[netip.AddrPort]*incarnation.Address // of the workers
 
 	// The request table: requests holds every slot, freeSlots the indexes of those not in use.
 	requests  []*Request
@@ -149,6 +154,7 @@
 		moduleTimers: map[control.TimerID]*eventloop.Timer{},
 		maxModels:    options.MaxModels,
 		workers:      map[control.WorkerID]*Worker{},
+		addresses:    map[netip.AddrPort]*incarnation.Address{},
 	}
 	if g.maxModels == 0 {
 		g.maxModels = defaultMaxModels
@@ -158,6 +164,7 @@
 		g.listLease = lease.NewList(g.leaseTerms, options.ListCompleteAt)
 	}
 	g.listLeaseTimer.Fire = g.listLeaseExpired
+	g.listDoubtTimer.Fire = g.checkListDoubt
 	g.models.init()
 	g.reportFinishedFn = g.reportFinished
 	g.stopTimer.Fire = g.continueShutdown
--- a/internal/gateway/http_workers.go
+++ b/internal/gateway/http_workers.go
@@ -7,6 +7,7 @@
 	"mastchute/control"
 	"mastchute/internal/httpcodec"
 	"mastchute/internal/httpconn"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/rules"
 )
 
@@ -25,6 +26,7 @@
 		MaxIdle:        limits.MaxIdleWorkerConnections,
 		IdleTimeout:    limits.WorkerIdleTimeout.Seconds,
 		ConnectTimeout: limits.ConnectTimeout.Seconds,
+		Address:        w.Address(),
 		OnConnectionLost: func() {
 			if w.ConnectionLost() {
 				g.sendStartupProbe(w)
@@ -34,7 +36,7 @@
 	return &httpWorkerTransport{gateway: g, Pool: pool}
 }
 
-// httpAttempt is the transport state of an attempt. It implements httpconn.ResponseHandler and httpconn.HeadRewriter.
+// httpAttempt is the transport state of an attempt. It implements httpconn.ResponseHandler and httpconn.SendHandler.
 type httpAttempt struct {
 	attempt       *Attempt
 	call          httpconn.Call
@@ -85,6 +87,15 @@
 	return state.call.SentAt
 }
 
+// ConnectionOf implements WorkerTransport.
+func (t *httpWorkerTransport) ConnectionOf(a *Attempt) *incarnation.Connection {
+	state, _ := a.TransportState.(*httpAttempt)
+	if state == nil {
+		return nil
+	}
+	return state.call.Connection
+}
+
 // CommandSentAt implements WorkerTransport.
 func (t *httpWorkerTransport) CommandSentAt(c *WorkerCommand) float64 {
 	state, _ := c.TransportState.(*httpWorkerCommand)
@@ -100,16 +111,17 @@
 	return state != nil && state.call.FullySent()
 }
 
-// RewriteHead implements httpconn.HeadRewriter. It encodes the head of an attempt that has waited for a connection again, with
+// MaySend implements httpconn.SendHandler.
+func (h *httpAttempt) MaySend(connection *incarnation.Connection) bool {
+	now := h.attempt.gateway.Loop.Clock()
+	return h.attempt.CheckFirstByte(connection, now, now, 0) == rules.Allowed
+}
+
+// RewriteHead implements httpconn.SendHandler. It encodes the head of an attempt that has waited for a connection again, with
 // the time that is left now.
-func (h *httpAttempt) RewriteHead() ([]byte, bool) {
-	a := h.attempt
-	now := a.gateway.Loop.Clock()
-	if a.CheckFirstByte(now, now, 0) != rules.Allowed {
-		return nil, false
-	}
-	h.head = a.gateway.appendAttemptHead(h.head[:0], a, exchangeOf(a))
-	return h.head, true
+func (h *httpAttempt) RewriteHead() []byte {
+	h.head = h.attempt.gateway.appendAttemptHead(h.head[:0], h.attempt, exchangeOf(h.attempt))
+	return h.head
 }
 
 // appendAttemptHead appends the request head of an attempt: the client's headers, then the gateway's.
--- /dev/null
+++ b/internal/gateway/incarnations.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"net/netip"
+
+	"mastchute/control"
+	"mastchute/internal/incarnation"
+)
+
+// This file finds out which worker processes attempts reach, and notifies the control module where that is not the process of
+// the entry for which an attempt was meant. Package incarnation decides what the connections show.
+
+// Address returns what is known of the processes at the worker's address, for the connections of a transport.
+func (w *Worker) Address() *incarnation.Address { return w.address }
+
+// dedupGroup returns the group of the worker's entry.
+func (w *Worker) dedupGroup() control.DedupGroup {
+	info := w.Advertised()
+	return control.DedupGroup{Zone: info.Zone, Cell: info.Cell, Known: true}
+}
+
+// addressOf returns the record of an address, and creates it if there is none.
+func (g *Gateway) addressOf(addr netip.AddrPort) *incarnation.Address {
+	address := g.addresses[addr]
+	if address == nil {
+		address = incarnation.NewAddress()
+		g.addresses[addr] = address
+	}
+	return address
+}
+
+// listCompleteAt returns until when the endpoint list is known to be complete, incarnation.AlwaysComplete if it may be relied
+// on at the given time.
+func (g *Gateway) listCompleteAt(now float64) float64 {
+	if now < g.listLease.NotifiedBy() {
+		return incarnation.AlwaysComplete
+	}
+	return g.listLease.ConfirmedAt()
+}
+
+// hasLimitedScope reports whether only some of the workers drop repeats of the group's requests.
+func (g *group) hasLimitedScope() bool {
+	return g.effect == control.Deduplicated && g.dedupScope != control.ScopeAll
+}
+
+// connection returns the connection to which an attempt was written, nil if it was not.
+func (a *Attempt) connection() *incarnation.Connection {
+	if a.finished {
+		return a.sentOn
+	}
+	return a.Worker.transport.ConnectionOf(a)
+}
+
+// groupReached returns the group of the process that a message for a worker reaches on a connection, nil for none.
+func (g *Gateway) groupReached(w *Worker, connection *incarnation.Connection, now float64) control.DedupGroup {
+	group := w.dedupGroup()
+	group.Known = connection != nil && connection.LeadsToListed(g.listCompleteAt(now))
+	return group
+}
+
+// groupOf returns the group that an attempt has reached or, if it has not been written to a connection, is expected to reach.
+func (g *Gateway) groupOf(a *Attempt, now float64) control.DedupGroup {
+	connection := a.connection()
+	if connection == nil && !a.finished {
+		return g.groupExpected(a.Worker, now)
+	}
+	return g.groupReached(a.Worker, connection, now)
+}
+
+// groupExpected returns the group that a new attempt at a worker reaches on the best of its connections.
+func (g *Gateway) groupExpected(w *Worker, now float64) control.DedupGroup {
+	group := w.dedupGroup()
+	group.Known = w.address.LeadsToListed(g.listCompleteAt(now))
+	return group
+}
+
+// AttemptWritten notifies the control module of the group that an attempt reaches on the connection to which it was written.
+func (g *Gateway) AttemptWritten(a *Attempt) {
+	if g.listInDoubt {
+		g.traceAttempt(a)
+	}
+}
+
+// WorkerConnectionsChanged notifies the control module if an established or closed connection decides whether an attempt at a
+// worker certainly reaches the process of its entry.
+func (g *Gateway) WorkerConnectionsChanged(w *Worker) {
+	if g.listInDoubt {
+		g.reportIdentity(w)
+	}
+}
+
+// checkListDoubt notifies the control module of all workers and attempts whose process is in doubt, when the endpoint list
+// can no longer be relied on or can be again. It starts the timer for the time at which that changes.
+func (g *Gateway) checkListDoubt() {
+	now := g.Loop.Now()
+	wasInDoubt := g.listInDoubt
+	notifiedBy := g.listLease.NotifiedBy()
+	g.listInDoubt = now >= notifiedBy
+	if !g.listInDoubt {
+		g.Loop.StartTimer(&g.listDoubtTimer, notifiedBy-now)
+	}
+	if !wasInDoubt && !g.listInDoubt {
+		return
+	}
+	for _, w := range g.workers {
+		g.reportIdentity(w)
+	}
+	g.traceAttempts()
+}
+
+// reportIdentity notifies the control module if it has changed whether an attempt at a worker certainly reaches the process of
+// its entry.
+func (g *Gateway) reportIdentity(w *Worker) {
+	unidentified := !g.groupExpected(w, g.Loop.Now()).Known
+	if !w.announced || !g.listSubscribed || unidentified == w.unidentified {
+		return
+	}
+	w.unidentified = unidentified
+	g.deliver(func(module control.Module) { module.WorkerIdentified(w.ID, !unidentified) })
+}
+
+// traceAttempts notifies the control module of the groups that the attempts of all requests have reached.
+func (g *Gateway) traceAttempts() {
+	for _, r := range g.requests {
+		if !r.inUse || r.finished {
+			continue
+		}
+		for _, a := range r.attempts[:r.attemptCount] {
+			g.traceAttempt(a)
+		}
+	}
+}
+
+// traceAttempt notifies the control module if an attempt has reached another group than it was told of last.
+func (g *Gateway) traceAttempt(a *Attempt) {
+	r := a.Request
+	if !r.group.hasLimitedScope() || a.connection() == nil {
+		return
+	}
+	group := g.groupOf(a, g.Loop.Now())
+	if group == a.reportedGroup {
+		return
+	}
+	a.reportedGroup = group
+	g.RecordEvent("attempt_traced", "", r, a.Worker, float64(a.Index))
+	g.deliver(func(module control.Module) { module.AttemptTraced(r.id, a.Index, group) })
+}
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -5,6 +5,7 @@
 
 	"mastchute/control"
 	"mastchute/internal/eventloop"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/lease"
 	"mastchute/internal/membership"
 )
@@ -59,7 +60,9 @@
 	CancelAttempt(attempt *Attempt)
 	// SentAt returns the loop time at which the attempt was written to an established connection, 0 if it has not been.
 	SentAt(attempt *Attempt) float64
-	// CommandSentAt returns the same for a worker command.
+	// ConnectionOf returns the connection to which the attempt was written, nil if it has not been.
+	ConnectionOf(attempt *Attempt) *incarnation.Connection
+	// CommandSentAt returns the same as SentAt for a worker command.
 	CommandSentAt(command *WorkerCommand) float64
 	// FullySent reports whether all of the attempt has been sent, so that cancelling it cannot prevent it from running.
 	FullySent(attempt *Attempt) bool
@@ -98,7 +101,9 @@
 	transport           WorkerTransport
 	transportAddr       netip.AddrPort // the address that transport connects to
 	transportStartEpoch float64        // start of the worker's process that transport was created for, in seconds since 1970
+	address             *incarnation.Address
 	announced           bool           // the control module has been notified of the worker
+	unidentified        bool           // the control module has been notified that attempts may reach another process
 	callsInFlight       int            // attempts and worker commands that have not finished
 	startupProbeCommand *WorkerCommand // in flight, or nil
 	probeRetryTimer     eventloop.Timer
@@ -124,6 +129,12 @@
 	finished     bool
 	blocked      bool // a rule forbids it, so it has not been passed to the transport
 	result       control.Result
+
+	// Set when the attempt has finished.
+	sentAt float64                 // loop time at which it was written to a connection, 0 if it was not
+	sentOn *incarnation.Connection // the connection, nil for none
+
+	reportedGroup control.DedupGroup // that the control module takes it to have reached
 }
 
 // Finished reports whether the attempt has ended.
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -13,6 +13,7 @@
 	"mastchute/control"
 	"mastchute/internal/config"
 	"mastchute/internal/membership"
+	"mastchute/internal/rules"
 )
 
 // Rule 2: which kinds of failure allow a retry, for groups that must not run twice and for those that may.
@@ -140,7 +141,7 @@
 // The deduplication window starts with the first attempt that may have run.
 func TestDedupWindowStart(t *testing.T) {
 	r := &Request{
-		group: &group{effect: control.Deduplicated},
+		group: &group{effect: control.Deduplicated, dedupScope: control.ScopeAll},
 		attempts: [maxAttempts]*Attempt{
 			{createdAt: 1, finished: true, result: control.AtCapacity},
 			{createdAt: 3, finished: true, result: control.ConnectionReset},
@@ -149,14 +150,17 @@
 		},
 	}
 	r.group.DedupWindow = config.Seconds(2)
-	if until := dedupDeadline(r.attemptFacts(nil, 3)); until != 5 {
+	factsOf := func(index int) rules.RequestFacts {
+		return r.attemptFacts(&Attempt{Index: index}, control.DedupGroup{}, 4.5)
+	}
+	if until := dedupDeadline(factsOf(3)); until != 5 {
 		t.Errorf("the window ends at %g", until)
 	}
-	if until := dedupDeadline(r.attemptFacts(nil, 1)); !math.IsInf(until, 1) {
+	if until := dedupDeadline(factsOf(1)); !math.IsInf(until, 1) {
 		t.Error("an attempt that never ran starts the window")
 	}
 	r.group.effect = control.Retriable
-	if until := dedupDeadline(r.attemptFacts(nil, 3)); !math.IsInf(until, 1) {
+	if until := dedupDeadline(factsOf(3)); !math.IsInf(until, 1) {
 		t.Error("a retriable request has a deduplication window")
 	}
 }
--- a/internal/gateway/rule_checks.go
+++ b/internal/gateway/rule_checks.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"mastchute/control"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/rules"
 )
 
@@ -11,11 +12,11 @@
 
 var ruleNames = [...]string{"0", "1", "2", "3", "4", "5"} // values of the metric label "rule"
 
-// attemptFacts returns the facts that decide whether an attempt at a worker is allowed, given that earlierCount attempts
+// attemptFacts returns the facts that decide whether an attempt that reaches a group is allowed, given the attempts that
 // precede it.
-func (r *Request) attemptFacts(w *Worker, earlierCount int) rules.RequestFacts {
+func (r *Request) attemptFacts(attempt *Attempt, target control.DedupGroup, now float64) rules.RequestFacts {
 	facts := rules.RequestFacts{Finished: r.finished, Deadline: r.deadline, Effect: r.group.effect, DedupUntil: math.Inf(1)}
-	for _, a := range r.attempts[:earlierCount] {
+	for _, a := range r.attempts[:attempt.Index] {
 		if a.finished && a.result.NeverRan() {
 			continue
 		}
@@ -23,8 +24,13 @@
 			facts.MayHaveRun = true
 			facts.DedupUntil = a.createdAt + r.group.DedupWindow.Seconds
 			facts.InDedupScope = true
+			facts.Identified = true
+		}
+		if r.group.hasLimitedScope() {
+			earlier := attempt.gateway.groupOf(a, now)
+			facts.Identified = facts.Identified && earlier.Known && target.Known
+			facts.InDedupScope = facts.InDedupScope && r.group.dedupScopeCovers(earlier, target)
 		}
-		facts.InDedupScope = facts.InDedupScope && r.group.dedupScopeCovers(a.Worker, w)
 	}
 	return facts
 }
@@ -50,8 +56,8 @@
 	return math.Inf(1)
 }
 
-// dedupScopeCovers reports whether two workers drop each other's repeats.
-func (g *group) dedupScopeCovers(a, b *Worker) bool {
+// dedupScopeCovers reports whether the workers of two groups drop each other's repeats.
+func (g *group) dedupScopeCovers(a, b control.DedupGroup) bool {
 	switch g.dedupScope {
 	case control.ScopeAll:
 		return true
@@ -60,7 +66,7 @@
 	case control.ScopeCell:
 		return a.Zone == b.Zone && a.Cell == b.Cell
 	}
-	return a == b
+	return false
 }
 
 // isReady reports whether new work may be sent to a worker.
@@ -71,11 +77,32 @@
 	return rules.WorkerFacts{Ready: w.isReady(), LeaseUntil: math.Max(g.listLease.Until(), w.lease.Until())}
 }
 
-// CheckFirstByte returns rules.Allowed if the first byte of an attempt may be sent at now, in a message whose deadline was
-// encoded at encodedAt and has been renewed the given number of times. A forbidden attempt is counted as held back, not as a
-// violation: the facts have changed while it was in the send queue.
-func (a *Attempt) CheckFirstByte(now, encodedAt float64, renewals int) rules.Reason {
-	facts := a.Request.attemptFacts(a.Worker, a.Index)
+// MaySendOn reports whether rule 2 allows that an attempt is sent on a connection, which may lead to another process than that
+// of the worker's entry.
+func (a *Attempt) MaySendOn(connection *incarnation.Connection, now float64) bool {
+	return a.maySendTo(a.gateway.groupReached(a.Worker, connection, now), now)
+}
+
+// MaySendOnNew reports whether rule 2 allows that an attempt is sent on a connection that is opened now.
+func (a *Attempt) MaySendOnNew(now float64) bool {
+	group := a.Worker.dedupGroup()
+	group.Known = a.gateway.listCompleteAt(now) == incarnation.AlwaysComplete
+	return a.maySendTo(group, now)
+}
+
+func (a *Attempt) maySendTo(group control.DedupGroup, now float64) bool {
+	if a.Index == 0 || !a.Request.group.hasLimitedScope() {
+		return true
+	}
+	facts := a.Request.attemptFacts(a, group, now)
+	return !facts.MayHaveRun || facts.Identified && facts.InDedupScope
+}
+
+// CheckFirstByte returns rules.Allowed if the first byte of an attempt may be sent on a connection at now, in a message whose
+// deadline was encoded at encodedAt and has been renewed the given number of times. A forbidden attempt is counted as held
+// back, not as a violation: the facts have changed while it was in the send queue.
+func (a *Attempt) CheckFirstByte(connection *incarnation.Connection, now, encodedAt float64, renewals int) rules.Reason {
+	facts := a.Request.attemptFacts(a, a.gateway.groupReached(a.Worker, connection, now), now)
 	facts.DedupUntil = a.SendDeadline
 	reason := rules.CheckFirstByte(now, encodedAt, renewals, facts, a.Worker.facts(a.gateway))
 	if reason != rules.Allowed {
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -120,6 +120,7 @@
 		}
 	}
 	w.transportAddr = member.Addr
+	w.address = g.addressOf(member.Addr)
 	w.transportStartEpoch = member.StartEpoch
 	w.transport = g.clients.NewWorkerTransport(w)
 	return w
@@ -183,6 +184,11 @@
 		infos = append(infos, w.Advertised())
 	}
 	g.deliver(func(module control.Module) { module.UpdateWorkers(control.ListDelta, g.Members.Version, infos) })
+	if g.listInDoubt {
+		for _, w := range workers {
+			g.reportIdentity(w)
+		}
+	}
 }
 
 // sendEndpointList notifies the control module of all announced workers of the endpoint list.
@@ -195,4 +201,9 @@
 		}
 	}
 	g.deliver(func(module control.Module) { module.UpdateWorkers(kind, g.Members.Version, infos) })
+	if g.listInDoubt {
+		for _, w := range g.workers {
+			g.reportIdentity(w)
+		}
+	}
 }
--- a/internal/httpconn/call.go
+++ b/internal/httpconn/call.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"mastchute/internal/httpcodec"
+	"mastchute/internal/incarnation"
 )
 
 // Errors of calls that end without a complete response, in addition to those of the connection.
@@ -27,11 +28,14 @@
 	ResponseDone(err error)
 }
 
-// HeadRewriter is implemented by a ResponseHandler whose request head states the time left for the response. If the
-// request has waited longer than rules.MaxDeadlineAge before it is sent, its head is replaced.
-type HeadRewriter interface {
-	// RewriteHead returns an updated head, or false if the request must not be sent any more.
-	RewriteHead() (head []byte, ok bool)
+// SendHandler is implemented by a ResponseHandler that decides whether its request is sent on a connection, and whose request
+// head states the time left for the response. If the request has waited longer than rules.MaxDeadlineAge before it is sent,
+// its head is replaced.
+type SendHandler interface {
+	// MaySend reports whether the request may be sent on a connection. If not, the call ends with ErrNotSent.
+	MaySend(connection *incarnation.Connection) bool
+	// RewriteHead returns an updated head.
+	RewriteHead() []byte
 }
 
 // Call is a request to a peer. It is meant to be a field of the struct that uses it, and may be reused after it has ended.
@@ -41,6 +45,8 @@
 	// SentAt is the time on the loop's clock, in seconds, at which the request was passed to an established connection, or 0
 	// before that.
 	SentAt float64
+	// Connection is what is known of the connection on which the request was sent, nil before that.
+	Connection *incarnation.Connection
 	// IsHead is set for a HEAD request, whose response has no body.
 	IsHead bool
 	// SendDeadline is the time on the loop's clock, in seconds, after which the request must not be sent any more: the call
@@ -69,6 +75,7 @@
 	c.headBuiltAt = p.Loop.Clock()
 	c.startOffset = 0
 	c.SentAt = 0
+	c.Connection = nil
 	c.queued = false
 	c.failurePending = false
 	c.anyByteSent = false
--- a/internal/httpconn/client_conn.go
+++ b/internal/httpconn/client_conn.go
@@ -5,6 +5,7 @@
 
 	"mastchute/internal/eventloop"
 	"mastchute/internal/httpcodec"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/rules"
 )
 
@@ -17,6 +18,7 @@
 type clientConn struct {
 	pool         *Pool
 	tcp          *eventloop.Conn
+	incarnation  *incarnation.Connection
 	call         *Call // nil while idle
 	parser       httpcodec.Parser
 	head         httpcodec.Head
@@ -43,6 +45,7 @@
 func (c *clientConn) removeFromPool() {
 	c.pool.Loop.CancelTimer(&c.timer)
 	delete(c.pool.conns, c)
+	c.incarnation.Closed()
 }
 
 // startCall sends a call on the connection, or ends it with ErrNotSent if it has waited too long.
@@ -57,19 +60,24 @@
 	c.pool.startNextCall(c)
 }
 
-// refreshHead rewrites the head of a call that has waited too long, and reports whether the call may be sent.
+// refreshHead reports whether a call may be sent, and rewrites its head if it has waited too long.
 func (c *clientConn) refreshHead(call *Call) bool {
 	now := c.pool.Loop.Clock()
 	if call.SendDeadline > 0 && now > call.SendDeadline {
 		return false
 	}
-	rewriter, ok := call.Handler.(HeadRewriter)
-	if !ok || now-call.headBuiltAt <= rules.MaxDeadlineAge {
+	handler, ok := call.Handler.(SendHandler)
+	if !ok {
 		return true
 	}
-	call.head, ok = rewriter.RewriteHead()
-	call.headBuiltAt = now
-	return ok
+	if !handler.MaySend(c.incarnation) {
+		return false
+	}
+	if now-call.headBuiltAt > rules.MaxDeadlineAge {
+		call.head = handler.RewriteHead()
+		call.headBuiltAt = now
+	}
+	return true
 }
 
 // BeforeWrite implements eventloop.WriteInterceptor. If a request has waited in the connection and no byte of it has been
@@ -93,6 +101,7 @@
 	c.headReceived = false
 	c.hasSentCall = true
 	call.conn = c
+	call.Connection = c.incarnation
 	call.startOffset = c.tcp.WrittenBytes()
 	call.SentAt = c.pool.Loop.Now()
 	c.tcp.Write(call.head)
@@ -115,6 +124,7 @@
 
 // Connected implements eventloop.Handler.
 func (c *clientConn) Connected(*eventloop.Conn) {
+	c.incarnation.Established(c.pool.Loop.Now())
 	if c.call != nil {
 		c.startCall(c.call)
 	} else {
@@ -131,6 +141,7 @@
 
 // Closed implements eventloop.Handler.
 func (c *clientConn) Closed(_ *eventloop.Conn, err error) {
+	c.incarnation.Lost(c.pool.Loop.Now())
 	c.removeFromPool()
 	call := c.call
 	if call == nil {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -5,6 +5,7 @@
 
 	"mastchute/internal/eventloop"
 	"mastchute/internal/httpcodec"
+	"mastchute/internal/incarnation"
 )
 
 // responseLimits limit the heads of responses.
@@ -12,11 +13,12 @@
 
 // PoolOptions are the options of a Pool. Zero values select the defaults.
 type PoolOptions struct {
-	MaxConnections   int     // maximum number of open connections; default 256
-	MaxIdle          int     // maximum number of idle connections; default 64
-	IdleTimeout      float64 // s after which an idle connection is closed; default 15
-	ConnectTimeout   float64 // s to establish a connection; default 0.25
-	OnConnectionLost func()  // called when the peer has ended a connection that has carried a call; may be nil
+	MaxConnections   int                  // maximum number of open connections; default 256
+	MaxIdle          int                  // maximum number of idle connections; default 64
+	IdleTimeout      float64              // s after which an idle connection is closed; default 15
+	ConnectTimeout   float64              // s to establish a connection; default 0.25
+	Address          *incarnation.Address // of the peer, which records the connections; nil for a new one
+	OnConnectionLost func()               // called when the peer has ended a connection that has carried a call; may be nil
 }
 
 func (o PoolOptions) withDefaults() PoolOptions {
@@ -32,6 +34,9 @@
 	if o.ConnectTimeout <= 0 {
 		o.ConnectTimeout = 0.25
 	}
+	if o.Address == nil {
+		o.Address = incarnation.NewAddress()
+	}
 	return o
 }
 
@@ -81,7 +86,7 @@
 
 // dial opens a connection and assigns the call to it.
 func (p *Pool) dial(call *Call) {
-	conn := &clientConn{pool: p, call: call, parser: httpcodec.Parser{Limits: responseLimits}}
+	conn := &clientConn{pool: p, call: call, incarnation: p.options.Address.Connect(), parser: httpcodec.Parser{Limits: responseLimits}}
 	conn.timer.Fire = conn.closeIdle
 	p.conns[conn] = struct{}{}
 	call.conn = conn
--- a/internal/platform/config_test.go
+++ b/internal/platform/config_test.go
@@ -74,7 +74,7 @@
 		changeLog.server.Listener.Addr(), testSettings("load"))
 	f, err := parseConfig([]byte(valid))
 	if err != nil || f.seed != 0x1f || f.maxGroupTimeout() != 2 || f.settingValues.Text("groups.2.effect") != "non-retriable" ||
-		len(f.settings.Groups) != 3 || f.settings.Groups[0].Effect != control.Retriable || f.settings.Groups[2].Effect != control.NonRetriable {
+		len(f.settings.Groups) != 5 || f.settings.Groups[0].Effect != control.Retriable || f.settings.Groups[2].Effect != control.NonRetriable {
 		t.Errorf("%+v %v", f, err)
 	}
 	for _, bad := range []string{"", "{", strings.Replace(valid, "127.0.0.1:0", "nowhere", 1), strings.Replace(valid, `"1f"`, `"x"`, 1),
--- a/internal/platform/fake_client_test.go
+++ b/internal/platform/fake_client_test.go
@@ -78,7 +78,7 @@
 	fields["route"] = group
 	fields["trace"] = newID()
 	fields["patience"] = strconv.Itoa(requestTimeoutMS)
-	if group != "write" {
+	if group == "read" || group == "once" {
 		delete(fields, "nonce")
 	}
 	for _, change := range changes {
--- a/internal/platform/fake_worker_test.go
+++ b/internal/platform/fake_worker_test.go
@@ -151,6 +151,23 @@
 	return nil
 }
 
+// setAction sets the action for all further attempts.
+func (w *fakeWorker) setAction(action workerAction) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.actions = []workerAction{action}
+}
+
+// resetConns resets all connections that the worker has accepted.
+func (w *fakeWorker) resetConns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, conn := range w.accepted {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
 // messages returns the messages with a verb that were received so far.
 func (w *fakeWorker) messages(verb string) (found []workerMessage) {
 	w.mu.Lock()
--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -25,10 +25,13 @@
 	newModule  gateway.NewModule // nil for the control module
 }
 
-// testGroups has a model group for each effect: read may be retried, write is deduplicated, once may not be retried.
+// testGroups has a model group for each effect: read may be retried, write is deduplicated, by all workers, local by those of a
+// cell and regional by those of a zone, and once may not be retried.
 const testGroups = `[{"name":"read","effect":"pure","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":2000000},
  {"name":"write","effect":"token","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":1000000},
- {"name":"once","effect":"side_effect","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":2000000}]`
+ {"name":"once","effect":"side_effect","aim_us":500000,"deadline_us":2000000,"group":"all","window_us":2000000},
+ {"name":"local","effect":"token","aim_us":500000,"deadline_us":2000000,"group":"cell","window_us":1000000},
+ {"name":"regional","effect":"token","aim_us":500000,"deadline_us":2000000,"group":"zone","window_us":1000000}]`
 
 // testSettings returns settings; onMiss is the mode for requests whose model is not loaded.
 func testSettings(onMiss string) string {
--- a/internal/platform/send_queue.go
+++ b/internal/platform/send_queue.go
@@ -3,6 +3,7 @@
 import (
 	"mastchute/control"
 	"mastchute/internal/gateway"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/rules"
 	"mastchute/internal/workerproto"
 )
@@ -14,8 +15,9 @@
 	attempt       *gateway.Attempt
 	workerCommand *gateway.WorkerCommand
 	transport     *workerTransport
-	conn          *workerConn // nil unless in flight
-	writtenTo     uint64      // number of the connection to which it was written; 0 before that, and after it was retracted
+	conn          *workerConn             // nil unless in flight
+	incarnation   *incarnation.Connection // of that connection
+	writtenTo     uint64                  // number of the connection to which it was written; 0 before that, and after it was retracted
 	queued        bool
 	tag           [24]byte // identifies the call in the worker's response: the request's id, or for a command a counter
 	tagLen        int
@@ -71,6 +73,11 @@
 			t.writeQueued(call, conn)
 			continue
 		}
+		if t.cannotSend(call) {
+			call.queued = false
+			call.finish(control.NotSent)
+			continue
+		}
 		if !call.needsUnusedConn() { // no connection has capacity
 			left = append(left, t.queue[i:]...)
 			break
@@ -85,11 +92,19 @@
 // writeQueued writes a queued call to a connection, or finishes it if it may no longer be sent.
 func (t *workerTransport) writeQueued(call *workerCall, conn *workerConn) {
 	call.queued = false
-	if call.checkFirstByte(t.pool.loop.Clock()) != rules.Allowed {
+	if call.checkFirstByte(conn, t.pool.loop.Clock()) != rules.Allowed {
 		call.finish(control.NotSent)
 		return
 	}
 	conn.writeCall(call)
+	if call.attempt != nil {
+		t.pool.gateway.AttemptWritten(call.attempt)
+	}
+}
+
+// cannotSend reports whether a call may use none of the connections, nor a new one.
+func (t *workerTransport) cannotSend(call *workerCall) bool {
+	return call.needsUnusedConn() && t.hasNoConnFor(call) && !call.attempt.MaySendOnNew(t.pool.loop.Now())
 }
 
 // needsUnusedConn reports whether the call must not be written to a connection that has carried an earlier attempt of its
@@ -99,11 +114,15 @@
 	return c.attempt != nil && c.attempt.Index > 0 && c.attempt.Request.Effect() != control.Retriable
 }
 
-// mayUse reports whether the call may be written to a connection.
+// mayUse reports whether the call may be written to a connection: no attempt of its request has used it, and it leads to a
+// worker that drops the repeat.
 func (c *workerCall) mayUse(conn *workerConn) bool {
 	if !c.needsUnusedConn() {
 		return true
 	}
+	if !c.attempt.MaySendOn(conn.incarnation, conn.transport.pool.loop.Now()) {
+		return false
+	}
 	for _, earlier := range c.attempt.Earlier() {
 		if earlier.PassedToTransport() && callOf(earlier.TransportState).writtenTo == conn.number {
 			return false
@@ -112,10 +131,10 @@
 	return true
 }
 
-// checkFirstByte returns rules.Allowed if a message for the call may be encoded and its first byte sent now.
-func (c *workerCall) checkFirstByte(now float64) rules.Reason {
+// checkFirstByte returns rules.Allowed if a message for the call may be encoded and its first byte sent on a connection now.
+func (c *workerCall) checkFirstByte(conn *workerConn, now float64) rules.Reason {
 	if c.attempt != nil {
-		return c.attempt.CheckFirstByte(now, now, 0)
+		return c.attempt.CheckFirstByte(conn.incarnation, now, now, 0)
 	}
 	return c.workerCommand.CheckFirstByte(now)
 }
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -8,6 +8,7 @@
 	"mastchute/control"
 	"mastchute/internal/eventloop"
 	"mastchute/internal/gateway"
+	"mastchute/internal/incarnation"
 	"mastchute/internal/thrift"
 	"mastchute/internal/workerproto"
 )
@@ -22,6 +23,7 @@
 	transport       *workerTransport
 	number          uint64 // identifies the connection among all of the pool, from 1
 	conn            *eventloop.Conn
+	incarnation     *incarnation.Connection
 	inFlight        []*workerCall // written calls without a response, in no particular order
 	established     bool
 	closed          bool
@@ -48,6 +50,8 @@
 // Connected implements eventloop.Handler.
 func (c *workerConn) Connected(*eventloop.Conn) {
 	c.established = true
+	c.incarnation.Established(c.transport.pool.loop.Now())
+	c.transport.pool.gateway.WorkerConnectionsChanged(c.transport.worker)
 	c.resetTimer()
 	c.transport.scheduleQueue()
 }
@@ -62,6 +66,7 @@
 		c.transport.connectFailed(c, err)
 		return
 	}
+	c.incarnation.Lost(c.transport.pool.loop.Now())
 	c.close(control.ConnectionReset, closeReason(err))
 	c.transport.reportReset(err)
 }
--- a/internal/platform/worker_send.go
+++ b/internal/platform/worker_send.go
@@ -36,6 +36,7 @@
 	}
 	call.conn = c
 	call.writtenTo = c.number
+	call.incarnation = c.incarnation
 	c.inFlight = append(c.inFlight, call)
 	c.resetTimer()
 }
@@ -106,7 +107,7 @@
 
 // recheckAttempt removes an unsent attempt from the connection if the rules no longer allow it.
 func (c *workerConn) recheckAttempt(call *workerCall, now float64) {
-	reason := call.attempt.CheckFirstByte(now, call.writtenAt, call.rewrites)
+	reason := call.attempt.CheckFirstByte(c.incarnation, now, call.writtenAt, call.rewrites)
 	if reason == rules.Allowed {
 		return
 	}
@@ -123,6 +124,7 @@
 		return false
 	}
 	call.writtenTo = 0
+	call.incarnation = nil
 	length := call.endOffset - call.startOffset
 	for _, other := range c.inFlight {
 		if other.startOffset >= call.endOffset {
--- a/internal/platform/worker_transport.go
+++ b/internal/platform/worker_transport.go
@@ -10,6 +10,7 @@
 	"mastchute/control"
 	"mastchute/internal/eventloop"
 	"mastchute/internal/gateway"
+	"mastchute/internal/incarnation"
 )
 
 const (
@@ -23,6 +24,7 @@
 	pool             *workerPool
 	worker           *gateway.Worker
 	addr             netip.AddrPort
+	address          *incarnation.Address
 	conns            []*workerConn
 	queue            []*workerCall // not yet written to any connection
 	queueScheduled   bool
@@ -31,7 +33,7 @@
 }
 
 func newWorkerTransport(pool *workerPool, worker *gateway.Worker) *workerTransport {
-	t := &workerTransport{pool: pool, worker: worker, addr: worker.Addr}
+	t := &workerTransport{pool: pool, worker: worker, addr: worker.Addr, address: worker.Address()}
 	t.processQueueFunc = t.processQueue
 	return t
 }
@@ -72,6 +74,15 @@
 	return 0
 }
 
+// ConnectionOf implements gateway.WorkerTransport.
+func (t *workerTransport) ConnectionOf(attempt *gateway.Attempt) *incarnation.Connection {
+	call := callOf(attempt.TransportState)
+	if call == nil {
+		return nil
+	}
+	return call.incarnation
+}
+
 // CommandSentAt implements gateway.WorkerTransport.
 func (t *workerTransport) CommandSentAt(workerCommand *gateway.WorkerCommand) float64 {
 	call := callOf(workerCommand.TransportState)
@@ -108,6 +119,7 @@
 func (t *workerTransport) failLater(call *workerCall) {
 	call.cancel()
 	call.writtenAt = 0
+	call.incarnation = nil
 	call.queued = true
 	t.pool.loop.Defer(func() {
 		if call.transport == t && call.queued {
@@ -217,7 +229,7 @@
 // connect starts to establish a connection.
 func (t *workerTransport) connect() {
 	t.pool.lastConnNumber++
-	conn := &workerConn{transport: t, number: t.pool.lastConnNumber}
+	conn := &workerConn{transport: t, number: t.pool.lastConnNumber, incarnation: t.address.Connect()}
 	conn.timer.Fire = conn.timerExpired
 	t.conns = append(t.conns, conn)
 	t.pool.conns[conn] = struct{}{}
@@ -232,6 +244,8 @@
 	if errors.As(err, &localErr) {
 		result = control.NotSent
 		t.pool.clients.countDrop(reasonLocalConnectFailure)
+	} else {
+		conn.incarnation.Lost(t.pool.loop.Now())
 	}
 	t.removeConn(conn)
 	t.reportReset(err)
@@ -282,6 +296,8 @@
 	for i, other := range t.conns {
 		if other == conn {
 			t.conns = append(t.conns[:i], t.conns[i+1:]...)
+			conn.incarnation.Closed()
+			t.pool.gateway.WorkerConnectionsChanged(t.worker)
 			delete(t.pool.conns, conn)
 			t.pool.onCapacityFreed()
 			return
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -44,6 +44,7 @@
 	LeaseExpired                     // rule 3: the worker may be draining or gone: discovery is unavailable and the worker has no lease of its own
 	MayHaveRun                       // rule 2: an earlier attempt may have run, and the request must not run twice
 	OutsideDedupScope                // rule 2: the worker does not drop repeats of an earlier attempt that may have run
+	WorkerUnidentified               // rule 2: an attempt may have reached, or reach, another process than its worker's
 	DedupWindowExpired               // rule 2: workers no longer drop repeats of the request
 	StaleDeadline                    // rule 1: the message has waited so long that its encoded deadline is wrong
 	ResponsePending                  // rule 1: a request on the connection has no response yet
@@ -51,7 +52,7 @@
 )
 
 var reasonNames = [reasonCount]string{"allowed", "answered", "time_up", "worker_not_ready", "lease_expired", "may_have_run", "out_of_scope",
-	"window_over", "stale_deadline", "open_request"}
+	"worker_unidentified", "window_over", "stale_deadline", "open_request"}
 
 // String returns the reason as metrics and logs show it.
 func (r Reason) String() string { return reasonNames[r] }
@@ -61,7 +62,7 @@
 	switch r {
 	case AlreadyFinished, DeadlineExceeded, StaleDeadline, ResponsePending:
 		return 1
-	case MayHaveRun, OutsideDedupScope, DedupWindowExpired:
+	case MayHaveRun, OutsideDedupScope, WorkerUnidentified, DedupWindowExpired:
 		return 2
 	case WorkerNotReady, LeaseExpired:
 		return 3
@@ -77,6 +78,7 @@
 	Effect       control.Effect // of running the request
 	MayHaveRun   bool           // an earlier attempt is in flight or may have run
 	DedupUntil   float64        // when workers stop dropping repeats of the request
+	Identified   bool           // it is certain which workers' processes the earlier attempts and the new one reach
 	InDedupScope bool           // the worker of the new attempt drops repeats of the earlier ones
 }
 
@@ -113,6 +115,8 @@
 		return Allowed
 	case request.Effect == control.NonRetriable:
 		return MayHaveRun
+	case !request.Identified:
+		return WorkerUnidentified
 	case !request.InDedupScope:
 		return OutsideDedupScope
 	case now > request.DedupUntil:
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -11,10 +11,11 @@
 	finished     = RequestFacts{Deadline: 10, Finished: true}
 	retriable    = RequestFacts{Deadline: 10, Effect: control.Retriable, MayHaveRun: true}
 	nonRetriable = RequestFacts{Deadline: 10, Effect: control.NonRetriable, MayHaveRun: true}
-	deduplicated = RequestFacts{Deadline: 10, Effect: control.Deduplicated, MayHaveRun: true, DedupUntil: 3, InDedupScope: true}
+	deduplicated = RequestFacts{Deadline: 10, Effect: control.Deduplicated, MayHaveRun: true, DedupUntil: 3, Identified: true, InDedupScope: true}
 	leased       = WorkerFacts{Ready: true, LeaseUntil: 11}
 	draining     = WorkerFacts{LeaseUntil: 11}
-	outOfScope   = RequestFacts{Deadline: 10, Effect: control.Deduplicated, MayHaveRun: true, DedupUntil: 3}
+	outOfScope   = RequestFacts{Deadline: 10, Effect: control.Deduplicated, MayHaveRun: true, DedupUntil: 3, Identified: true}
+	unidentified = RequestFacts{Deadline: 10, Effect: control.Deduplicated, MayHaveRun: true, DedupUntil: 3, InDedupScope: true}
 )
 
 func TestCheckAttempt(t *testing.T) {
@@ -36,6 +37,7 @@
 		{"at the end of the window", 3, deduplicated, leased, Allowed},
 		{"after the window", 3.1, deduplicated, leased, DedupWindowExpired},
 		{"outside the scope", 2, outOfScope, leased, OutsideDedupScope},
+		{"at a process that may be another worker's", 2, unidentified, leased, WorkerUnidentified},
 	} {
 		if got := CheckAttempt(c.now, c.request, c.worker); got != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
--- a/internal/simwire/server_test.go
+++ b/internal/simwire/server_test.go
@@ -34,6 +34,12 @@
 func (m *recordingModule) WorkerChecked(o control.CheckResult)     { m.record("%+v", o) }
 func (m *recordingModule) ListLeaseChanged(l control.ListLease)    { m.record("%+v", l) }
 func (m *recordingModule) ConnectionsLost(id control.WorkerID)     { m.record("lost %x", id) }
+func (m *recordingModule) WorkerIdentified(id control.WorkerID, identified bool) {
+	m.record("identified %x %v", id, identified)
+}
+func (m *recordingModule) AttemptTraced(id control.RequestID, attempt int, group control.DedupGroup) {
+	m.record("traced %x.%d %+v", id, attempt, group)
+}
 func (m *recordingModule) PeerMessageReceived(from control.PeerID, message []byte) {
 	m.record("message from %d: %s", from, message)
 }
