A repeat goes to the group of the process that earlier attempts have reached

A runner of another cell had taken the address of a listed one before the list told of it, and had run requests meant for that one; after the news they were sent again in the cell of the runner that had gone.

Cause: an attempt kept the scope of the entry for which it was meant.

Why it works: internal/incarnation remembers the entries that the list has shown at an address and when the process of each started. A connection leads to the one that fits the time in which its peer is known to have lived; if several of different groups fit, the group is unknown and nothing is repeated. The gateway traces the attempts in flight when the list changes, and tells control before the change, as that lets control hedge attempts at workers that are gone. An entry whose address a later process has taken counts as gone: work for it would reach that process, whatever its drain or slow start. A worker that the list moves to another zone or cell gets a new transport. control does the same for an id whose entry changes its place.

--- a/control/incarnations.go
+++ b/control/incarnations.go
@@ -27,5 +27,25 @@
 		return
 	}
 	req.attempts[number].group = group
+	req.attempts[number].traced = true
 	d.rescheduleUnsentAttempts()
 }
+
+// reassignAttempts records that the entry of a worker has another place: attempts sent after the start of its present process
+// have reached that. The group of an attempt that the host has reported remains.
+func (d *Dispatcher) reassignAttempts(known *worker, info WorkerInfo) {
+	if known.Zone == info.Zone && known.Cell == info.Cell {
+		return
+	}
+	for _, req := range d.inFlight.slots {
+		if !req.live {
+			continue
+		}
+		for i := range req.attempts[:req.attempted] {
+			a := &req.attempts[i]
+			if a.worker == known && !a.traced && a.sentAt > info.StartedAt {
+				a.group = DedupGroup{Zone: info.Zone, Cell: info.Cell, Known: a.group.Known}
+			}
+		}
+	}
+}
--- a/control/membership.go
+++ b/control/membership.go
@@ -39,6 +39,7 @@
 		d.models.markRestarted(known)
 		known.resetHistory()
 	}
+	d.reassignAttempts(known, info)
 	known.WorkerInfo = info
 }
 
--- a/control/request.go
+++ b/control/request.go
@@ -32,6 +32,7 @@
 	occupancy        int32   // attempts of this dispatcher in flight at the worker when it was scheduled, itself included
 	state            attemptState
 	rejection        rejection
+	traced           bool // the host has reported its group
 	hedged           bool // a hedged request for it was considered, whether or not one was sent
 	loading          bool // it waits for a load
 }
--- a/internal/gateway/eviction.go
+++ b/internal/gateway/eviction.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 
 	"mastchute/internal/membership"
 )
@@ -21,6 +22,7 @@
 func (g *Gateway) EvictIdle(before float64) {
 	g.models.evict(before, math.MaxInt)
 	g.Members.EvictGone(before, g.evictWorker)
+	g.evictAddresses()
 }
 
 // evictWorker removes a worker with its transport and metrics unless they are in use, and reports whether it has done so.
@@ -34,17 +36,23 @@
 		return false
 	}
 	delete(g.workers, member.ID)
-	g.evictAddress(w)
 	g.Metrics.deleteWorker(member.Name)
 	return true
 }
 
-// evictAddress removes the record of an evicted worker's address, unless another worker is listed there.
-func (g *Gateway) evictAddress(evicted *Worker) {
+// evictAddresses removes the records of addresses that no worker has any more. Connections and attempts keep those that they
+// refer to.
+func (g *Gateway) evictAddresses() {
+	if len(g.addresses) <= len(g.workers) {
+		return
+	}
+	used := map[netip.AddrPort]bool{}
 	for _, w := range g.workers {
-		if w.address == evicted.address {
-			return
+		used[w.transportAddr] = true
+	}
+	for addr := range g.addresses {
+		if !used[addr] {
+			delete(g.addresses, addr)
 		}
 	}
-	delete(g.addresses, evicted.transportAddr)
 }
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"math"
 	"net/netip"
 
 	"mastchute/control"
 	"mastchute/internal/incarnation"
+	"mastchute/internal/membership"
 )
 
 // This file finds out which worker processes attempts reach, and notifies the control module where that is not the process of
@@ -14,8 +16,10 @@
 func (w *Worker) Address() *incarnation.Address { return w.address }
 
 // dedupGroup returns the group of the worker's entry.
-func (w *Worker) dedupGroup() control.DedupGroup {
-	info := w.Advertised()
+func (w *Worker) dedupGroup() control.DedupGroup { return groupOfMember(w.Worker) }
+
+func groupOfMember(member *membership.Worker) control.DedupGroup {
+	info := member.Advertised()
 	return control.DedupGroup{Zone: info.Zone, Cell: info.Cell, Known: true}
 }
 
@@ -51,34 +55,57 @@
 	return a.Worker.transport.ConnectionOf(a)
 }
 
-// groupReached returns the group of the process that a message for a worker reaches on a connection, nil for none.
-func (g *Gateway) groupReached(w *Worker, connection *incarnation.Connection, now float64) control.DedupGroup {
-	group := w.dedupGroup()
-	group.Known = connection != nil && connection.LeadsToListed(g.listCompleteAt(now))
-	return group
-}
-
 // groupOf returns the group that an attempt has reached or, if it has not been written to a connection, is expected to reach.
 func (g *Gateway) groupOf(a *Attempt, now float64) control.DedupGroup {
 	connection := a.connection()
-	if connection == nil && !a.finished {
-		return g.groupExpected(a.Worker, now)
+	switch {
+	case connection != nil:
+		return connection.Group(g.listCompleteAt(now))
+	case a.finished:
+		return control.DedupGroup{}
 	}
-	return g.groupReached(a.Worker, connection, now)
+	return g.groupExpected(a.Worker, now)
 }
 
 // groupExpected returns the group that a new attempt at a worker reaches on the best of its connections.
 func (g *Gateway) groupExpected(w *Worker, now float64) control.DedupGroup {
 	group := w.dedupGroup()
-	group.Known = w.address.LeadsToListed(g.listCompleteAt(now))
+	group.Known = w.address.Reaches(group, g.listCompleteAt(now))
 	return group
 }
 
 // AttemptWritten notifies the control module of the group that an attempt reaches on the connection to which it was written.
-func (g *Gateway) AttemptWritten(a *Attempt) {
-	if g.listInDoubt {
-		g.traceAttempt(a)
+func (g *Gateway) AttemptWritten(a *Attempt) { g.traceAttempt(a) }
+
+// recordOccupant records the entry of a listed worker at its address, and reports whether that may change which process a
+// connection leads to.
+func (g *Gateway) recordOccupant(w *Worker, now float64) (changed bool) {
+	if w.State == control.Gone {
+		return w.address.Gone(w.Name, now)
+	}
+	occupant := incarnation.Occupant{Name: w.Name, Group: w.dedupGroup(), StartNotBefore: math.Inf(-1), StartNotAfter: now}
+	if w.StartProvided && w.Entry.StartEpoch > 0 {
+		occupant.StartEpoch = w.Entry.StartEpoch
+		earliest, latest := g.WallClock().Bounds(occupant.StartEpoch)
+		occupant.StartNotBefore = math.Min(earliest, now)
+		occupant.StartNotAfter = math.Min(latest, now)
+	}
+	return w.address.Listed(occupant)
+}
+
+// replacedBy returns the workers that are listed at the address of a worker whose process started after theirs: their
+// processes have ended.
+func (g *Gateway) replacedBy(replacement *Worker) (replaced []*Worker) {
+	if !replacement.StartProvided || replacement.State == control.Gone {
+		return nil
+	}
+	for _, w := range g.workers {
+		isOlder := w.StartProvided && w.Entry.StartEpoch < replacement.Entry.StartEpoch
+		if w.address == replacement.address && isOlder && w.State != control.Gone {
+			replaced = append(replaced, w)
+		}
 	}
+	return replaced
 }
 
 // WorkerConnectionsChanged notifies the control module if an established or closed connection decides whether an attempt at a
@@ -102,10 +129,16 @@
 	if !wasInDoubt && !g.listInDoubt {
 		return
 	}
+	g.reportIdentities()
+	g.traceAttempts()
+}
+
+// reportIdentities notifies the control module of all workers for which it has changed whether an attempt certainly reaches
+// the process of the entry.
+func (g *Gateway) reportIdentities() {
 	for _, w := range g.workers {
 		g.reportIdentity(w)
 	}
-	g.traceAttempts()
 }
 
 // reportIdentity notifies the control module if it has changed whether an attempt at a worker certainly reaches the process of
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -101,6 +101,7 @@
 	transport           WorkerTransport
 	transportAddr       netip.AddrPort // the address that transport connects to
 	transportStartEpoch float64        // start of the worker's process that transport was created for, in seconds since 1970
+	transportGroup      control.DedupGroup
 	address             *incarnation.Address
 	announced           bool           // the control module has been notified of the worker
 	unidentified        bool           // the control module has been notified that attempts may reach another process
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -204,3 +204,62 @@
 		t.Errorf("%d load requests, 1 allowed", n)
 	}
 }
+
+// Guards against a repeat in the zone of a worker whose address another one has taken, as the list that is read again shows.
+// No start is known, so either process may have run the request.
+func TestNoRepeatAfterAddressIsTaken(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		zone      string // of the worker that is listed at the address from then on, empty for none
+		inZone    int    // repeats at another worker of the first one's zone
+		otherZone int    // repeats at one of another zone
+		outcome   string
+	}{
+		{"by one of another zone", "z1", 0, 0, "failed"},
+		{"by one of the same zone", "z0", 1, 0, "returned"},
+		{"by none", "", 1, 0, "returned"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			taken := newWorker(t, "w1", func(conn net.Conn, request *http.Request) {
+				<-release
+				resetConnection(conn, request)
+			})
+			inZone, otherZone := newWorker(t, "w2", succeed), newWorker(t, "w3", succeed)
+			h := newHarness(t, "", nil, taken)
+			response := make(chan clientResponse, 1)
+			go func() { response <- h.post("write-1", "", "in") }()
+			h.waitUntil("the attempt has arrived", func() bool { return len(taken.received()) == 1 })
+			list := []membership.Entry{
+				{Name: "w2", Addr: inZone.addr(), Zone: "z0", State: control.Ready, Weight: 1},
+				{Name: "w3", Addr: otherZone.addr(), Zone: "z1", State: control.Ready, Weight: 1},
+			}
+			if c.zone != "" {
+				list = append(list, membership.Entry{Name: "w9", Addr: taken.addr(), Zone: c.zone, State: control.Draining, Weight: 1})
+			}
+			h.onLoop(func() {
+				if err := h.gateway.ReplaceWorkers(membership.SourceConfig, list); err != nil {
+					t.Error(err)
+				}
+			})
+			h.waitUntil("the workers are announced", func() bool { return h.worker("w2").announced && h.worker("w3").announced })
+			close(release)
+			got := <-response
+			if len(inZone.received()) != c.inZone || len(otherZone.received()) != c.otherZone || got.outcome != c.outcome {
+				t.Errorf("%d and %d repeats, %s; want %d and %d, %s", len(inZone.received()), len(otherZone.received()), got.outcome,
+					c.inZone, c.otherZone, c.outcome)
+			}
+		})
+	}
+}
+
+// Guards against a repeat at a worker that the list has moved to another zone, on a connection to its process before that.
+func TestRepeatAfterWorkerHasMovedZone(t *testing.T) {
+	moved := newWorker(t, "w1", succeed)
+	h := newHarness(t, "", nil, moved)
+	h.expect("write-1", 200, "returned")
+	before := moved.closedCount()
+	h.replaceWorkers(membership.Entry{Name: "w1", Addr: moved.addr(), Zone: "z7", State: control.Ready, Weight: 1})
+	h.waitUntil("its connections are closed", func() bool { return moved.closedCount() > before })
+	h.expect("write-1", 200, "returned")
+}
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -79,8 +79,16 @@
 // applyWorkerChanges updates the transports of changed members of the list, and announces the workers to the control module.
 func (g *Gateway) applyWorkerChanges(changed []*membership.Worker) {
 	var announce []*Worker
-	for _, member := range changed {
+	incarnationsChanged := false
+	for i := 0; i < len(changed); i++ {
+		member := changed[i]
 		w := g.workerFor(member)
+		if g.recordOccupant(w, g.Loop.Now()) {
+			incarnationsChanged = true
+			for _, replaced := range g.replacedBy(w) {
+				changed = append(changed, g.Members.MarkReplaced(replaced.Worker, g.Loop.Now())...)
+			}
+		}
 		g.log.Info().Str("worker", member.Name).Str("address", member.Addr.String()).Str("state", member.StateName()).
 			Uint32("version", member.Version).Stringer("from", member.Source).Msg("worker listed")
 		g.RecordEvent("worker_changed", member.StateName(), nil, w, w.StartedAt)
@@ -99,20 +107,30 @@
 			g.sendStartupProbe(w)
 		}
 	}
+	if incarnationsChanged { // first, as the changes let the control module retry attempts at workers that are gone
+		g.traceAttempts()
+	}
 	g.notifyWorkers(announce)
+	if incarnationsChanged {
+		g.reportIdentities()
+	}
 }
 
 // workerFor returns the gateway's record of a member of the list, with a transport to its current address and process.
 func (g *Gateway) workerFor(member *membership.Worker) *Worker {
 	w := g.workers[member.ID]
-	if w != nil && w.transportAddr == member.Addr && !(member.StartProvided && w.transportStartEpoch != member.StartEpoch) {
+	isRestarted := w != nil && member.StartProvided && w.transportStartEpoch != member.StartEpoch
+	if w != nil && w.transportAddr == member.Addr && !isRestarted && w.transportGroup == groupOfMember(member) {
 		return w
 	}
 	if w == nil {
 		w = &Worker{Worker: member, metrics: g.Metrics.forWorker(member.Name)}
 		g.workers[member.ID] = w
-	} else { // the worker has another process or another address
+	} else { // the worker has another process or another place
 		w.lease.Revoke()
+		if w.transportAddr != member.Addr {
+			w.address.Gone(w.Name, g.Loop.Now())
+		}
 		w.transport.Close()
 		w.transport.FailUnsent()
 		if w.startupProbeCommand != nil {
@@ -120,6 +138,7 @@
 		}
 	}
 	w.transportAddr = member.Addr
+	w.transportGroup = groupOfMember(member)
 	w.address = g.addressOf(member.Addr)
 	w.transportStartEpoch = member.StartEpoch
 	w.transport = g.clients.NewWorkerTransport(w)
@@ -201,9 +220,5 @@
 		}
 	}
 	g.deliver(func(module control.Module) { module.UpdateWorkers(kind, g.Members.Version, infos) })
-	if g.listInDoubt {
-		for _, w := range g.workers {
-			g.reportIdentity(w)
-		}
-	}
+	g.reportIdentities()
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -86,7 +86,7 @@
 
 // dial opens a connection and assigns the call to it.
 func (p *Pool) dial(call *Call) {
-	conn := &clientConn{pool: p, call: call, incarnation: p.options.Address.Connect(), parser: httpcodec.Parser{Limits: responseLimits}}
+	conn := &clientConn{pool: p, call: call, incarnation: p.options.Address.Connect(p.Loop.Now()), parser: httpcodec.Parser{Limits: responseLimits}}
 	conn.timer.Fire = conn.closeIdle
 	p.conns[conn] = struct{}{}
 	call.conn = conn
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -128,6 +128,15 @@
 	return l.mergeSources(now), nil
 }
 
+// MarkReplaced records that another process has taken the address of a worker. The worker is gone until a source lists it with
+// another start or address.
+func (l *List) MarkReplaced(w *Worker, now float64) (changed []*Worker) {
+	w.replaced = true
+	w.replacedStart = w.Entry.StartEpoch
+	w.replacedAddr = w.Addr
+	return l.mergeSources(now)
+}
+
 // EvictGone removes the workers that have been gone since before the given time, if mayEvict allows it.
 func (l *List) EvictGone(before float64, mayEvict func(*Worker) bool) {
 	l.sorted = slices.DeleteFunc(l.sorted, func(w *Worker) bool {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -77,6 +77,9 @@
 			state = entry.State
 		}
 	}
+	if w.replaced && w.Entry.StartEpoch == w.replacedStart && w.Addr == w.replacedAddr {
+		return control.Gone
+	}
 	if w.Listed && w.hasAdminState && strictness(w.adminState) > strictness(state) {
 		w.Source = SourceAdmin
 		state = w.adminState
--- a/internal/membership/start_history.go
+++ b/internal/membership/start_history.go
@@ -30,6 +30,13 @@
 	return startedAt
 }
 
+// Bounds returns the earliest and the latest time on the dispatcher's clock at which a worker started that reports its start
+// in seconds since 1970, whether or not the clock of the reporter was stepped together with the dispatcher's.
+func (c WallClock) Bounds(epoch float64) (earliest, latest float64) {
+	fromStart, fromNow := epoch-c.OffsetAtStart, epoch-c.OffsetNow
+	return math.Min(fromStart, fromNow) - maxClockSkew, math.Max(fromStart, fromNow) + maxClockSkew
+}
+
 // startHistory holds the starts of a worker before the latest one, and when the latest one was reported.
 type startHistory struct {
 	startReported    bool    // a start was reported, possibly without a time
--- a/internal/membership/worker.go
+++ b/internal/membership/worker.go
@@ -52,6 +52,9 @@
 
 	StartupProbe
 	startHistory  startHistory
+	replaced      bool    // another process has taken replacedAddr from the one that started at replacedStart
+	replacedStart float64 // StartEpoch of its entry then
+	replacedAddr  netip.AddrPort
 	awaitingProbe bool // ready again, and its startup probe has not finished
 	entries       [sourceCount]Entry
 	listedBy      [sourceCount]bool
--- a/internal/platform/replaced_worker_test.go
+++ b/internal/platform/replaced_worker_test.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 )
 
 // prepare performs steps: "connect W" opens a connection to a worker, "lose W" resets all connections to it, "confirm" polls
@@ -82,3 +84,161 @@
 		t.Errorf("%d attempts were sent", n)
 	}
 }
+
+// entryJSON returns a member of the change log at the address of a worker, whose process started age ago, or long ago if age is
+// negative.
+func entryJSON(id string, at *fakeWorker, zone string, cell int, phase string, age time.Duration) string {
+	upSince := int64(0)
+	if age >= 0 {
+		upSince = time.Now().Add(-age).UnixMilli()
+	}
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":"std","cell":%d,"phase":%q,"size":4,"up_since_ms":%d}`,
+		id, at.listener.Addr(), zone, cell, phase, upSince)
+}
+
+// publishAndWait adds an event to the change log, and waits until the dispatcher has applied it.
+func (h *harness) publishAndWait(members ...string) {
+	h.t.Helper()
+	h.changeLog.publish(false, members...)
+	h.changeLog.mu.Lock()
+	seq := int64(len(h.changeLog.events))
+	h.changeLog.mu.Unlock()
+	h.waitUntil("the event is applied", func() bool { return h.dispatcher.watch.lastSeq == seq })
+}
+
+const (
+	longBefore = time.Minute            // ago: before the connections of a test were opened
+	justNow    = 100 * time.Millisecond // ago: about when they were opened
+)
+
+// Guards against a repeat in the cell of a worker that has gone, after an attempt at the process that had taken its address
+// before the list told of that: the scope is that of the process which the attempt has reached.
+func TestRepeatStaysInGroupOfProcessReached(t *testing.T) {
+	for _, c := range []struct {
+		name, group  string
+		events       func(at *fakeWorker) []string // what the list tells after the first attempt
+		cell1, cell2 int                           // repeats in the cell of the worker that has gone, and in that of the other
+	}{
+		{"replaced before the attempt", "local", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", longBefore)}
+		}, 0, 1},
+		{"replaced in another zone", "regional", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "y", 2, "active", longBefore)}
+		}, 0, 0},
+		{"replaced in the same zone", "regional", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", longBefore)}
+		}, 1, 1},
+		{"replaced by one of the same cell", "local", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 1, "active", longBefore)}
+		}, 1, 0},
+		{"the old entry is still listed", "local", func(at *fakeWorker) []string {
+			return []string{entryJSON("new", at, "z", 2, "active", longBefore)}
+		}, 0, 1},
+		{"restarted under the same name in another cell", "local", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 2, "active", longBefore)}
+		}, 0, 1},
+		{"replaced at about the time of the attempt", "local", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", justNow)}
+		}, 0, 0},
+		{"all workers drop the repeat", "write", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", longBefore)}
+		}, 1, 1},
+		{"gone, and nothing is at its address", "local", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1)}
+		}, 1, 0},
+	} {
+		for repeatAt, want := range map[string]int{"w2": c.cell1, "w3": c.cell2} {
+			for _, lost := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, repeat at %s, connection reset %v", c.name, repeatAt, lost), func(t *testing.T) {
+					replaced := newFakeWorker(t, "w1", ignore)
+					repeats := playRepeatAfterReplacement(t, replaced, c.group, c.events(replaced), repeatAt, lost)
+					if repeats != want {
+						t.Errorf("%d repeats, want %d", repeats, want)
+					}
+				})
+			}
+		}
+	}
+}
+
+// playRepeatAfterReplacement makes an attempt at the replaced worker, publishes events, and makes another attempt at w2 of cell 1
+// or w3 of cell 2: after the connection of the first one is reset, or while it is in flight. It returns how many repeats arrive.
+func playRepeatAfterReplacement(t *testing.T, replaced *fakeWorker, group string, events []string, repeatAt string, lost bool) int {
+	other := newFakeWorker(t, "w0", respondServed)
+	target := newFakeWorker(t, repeatAt, respondServed)
+	h := newPassiveHarness(t, replaced, other)
+	cell := 1
+	if repeatAt == "w3" {
+		cell = 2
+	}
+	h.publishAndWait(entryJSON(repeatAt, target, "z", cell, "active", -1))
+	client := h.dial()
+	id := h.startRequest(client, group)
+	h.attempt(id, "w1")
+	for len(replaced.messages("invoke")) == 0 {
+		h.onLoop(func() {})
+	}
+	h.publishAndWait(events...)
+	if lost {
+		h.loseConnections(replaced)
+	}
+	h.attempt(id, repeatAt)
+	if lost {
+		h.waitUntil("the attempt has ended", func() bool { return h.callsInFlight() == 0 })
+	} else {
+		h.waitUntil("the repeat has ended", func() bool { return h.callsInFlight() <= 1 })
+	}
+	return len(target.messages("invoke"))
+}
+
+// Guards against new work for an entry whose address another process has taken, while the list still shows the entry as ready:
+// it would reach that process, which may drain or be in slow start.
+func TestReplacedEntryGetsNoNewWork(t *testing.T) {
+	replaced := newFakeWorker(t, "w1", respondServed)
+	h := newPassiveHarness(t, replaced)
+	h.publishAndWait(entryJSON("new", replaced, "z", 1, "active", longBefore))
+	id := h.startRequest(h.dial(), "read")
+	h.attemptAndWait(id, "w1")
+	if n := len(replaced.messages("invoke")); n != 0 {
+		t.Errorf("%d attempts at the entry that was replaced", n)
+	}
+	h.attemptAndWait(id, "new")
+	if n := len(replaced.messages("invoke")); n != 1 {
+		t.Errorf("%d attempts at the entry of the present process, want 1", n)
+	}
+	h.publishAndWait(entryJSON("w1", replaced, "z", 1, "active", 0)) // a later process of that name
+	h.onLoop(func() {
+		if state := h.dispatcher.Gateway.Members.ByName("w1").StateName(); state != "ready" {
+			t.Errorf("w1 has taken its address again and is %s", state)
+		}
+	})
+}
+
+// Guards against a hedged request in the cell of a worker that has gone, while the first attempt runs at the process that has
+// taken its address. The control module decides here.
+func TestNoHedgeInCellOfReplacedWorker(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cell int // of the process that has taken the address
+		want int // attempts at the other worker of cell 1
+	}{
+		{"the process is of another cell", 2, 0},
+		{"the process is of the same cell", 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			replaced := newFakeWorker(t, "w1", ignore)
+			other := newFakeWorker(t, "w2", respondServed)
+			h := newHarness(t, "load", replaced)
+			h.dial().send("local", "in")
+			for len(replaced.messages("invoke")) == 0 {
+				h.onLoop(func() {})
+			}
+			h.publishAndWait(entryJSON("w2", other, "z", 1, "active", -1), entryJSON("w1", replaced, "z", 1, "left", -1),
+				entryJSON("new", replaced, "z", c.cell, "leaving", longBefore))
+			time.Sleep(300 * time.Millisecond)
+			if n := len(other.messages("invoke")); n != c.want {
+				t.Errorf("%d attempts, want %d", n, c.want)
+			}
+		})
+	}
+}
--- a/internal/platform/worker_transport.go
+++ b/internal/platform/worker_transport.go
@@ -229,7 +229,7 @@
 // connect starts to establish a connection.
 func (t *workerTransport) connect() {
 	t.pool.lastConnNumber++
-	conn := &workerConn{transport: t, number: t.pool.lastConnNumber, incarnation: t.address.Connect()}
+	conn := &workerConn{transport: t, number: t.pool.lastConnNumber, incarnation: t.address.Connect(t.pool.loop.Now())}
 	conn.timer.Fire = conn.timerExpired
 	t.conns = append(t.conns, conn)
 	t.pool.conns[conn] = struct{}{}
