A queued attempt is checked against later ones too when its first byte is sent

An attempt had waited for a stream for 4.86 s and was sent then, 4.355 s after a second attempt that had run; the window is 4 s.

Cause: Attempt.CheckFirstByte asked attemptFacts for the attempts before it only, and SendDeadline was set when the attempt was made. The order in which attempts are decided was taken for the order in which they are sent.

The deadline that the worker got was computed when the stream became free, so the message did not wait in the kernel. No window applied to the attempt at all: for index 0 attemptFacts knew no other attempt.

Why it works: the facts for rule 2 are those of all other attempts that may have run, whatever their index, each from when it was written to a connection. One that has not been sent does not count; it is checked when its own first byte is sent. A waiting attempt ends with the window of the first that was sent. The same holds for the scope, for the connection that an attempt must not share with another of its request, and over HTTP/1.1, where the check ran only for calls that had waited more than 50 ms.

Tests: on the text before, TestQueuedAttemptIsCheckedAgainstLaterOnes fails in four of six cases (platform) and three of four (HTTP/1.1); among them a queued attempt that was ended although the later one never ran. TestDedupWindowStart checked that later attempts are ignored; it now checks that they count, from when they were sent, in six cases.

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -42,6 +42,7 @@
 	if !math.IsInf(a.SendDeadline, 1) {
 		g.Loop.StartTimer(&a.dedupTimer, a.SendDeadline-a.createdAt)
 	}
+	g.limitUnsent(a)
 	w.MarkSent()
 	w.transport.SendAttempt(a)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,11 +36,7 @@
 	}
 	a := &Attempt{gateway: g}
 	a.timeoutTimer.Fire = func() { g.finishAttempt(a, control.TimedOut) }
-	a.dedupTimer.Fire = func() {
-		if a.Worker.transport.SentAt(a) == 0 {
-			g.finishAttempt(a, control.NotSent)
-		}
-	}
+	a.dedupTimer.Fire = a.dedupExpired
 	return a
 }
 
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -141,8 +141,8 @@
 // Finished reports whether the attempt has ended.
 func (a *Attempt) Finished() bool { return a.finished }
 
-// Earlier returns the attempts of the request that precede this one.
-func (a *Attempt) Earlier() []*Attempt { return a.Request.attempts[:a.Index] }
+// Siblings returns all attempts of the request, this one included.
+func (a *Attempt) Siblings() []*Attempt { return a.Request.attempts[:a.Request.attemptCount] }
 
 // PassedToTransport reports whether the transport got the attempt: not if a rule forbids it.
 func (a *Attempt) PassedToTransport() bool { return !a.blocked }
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -13,7 +13,6 @@
 	"mastchute/control"
 	"mastchute/internal/config"
 	"mastchute/internal/membership"
-	"mastchute/internal/rules"
 )
 
 // Rule 2: which kinds of failure allow a retry, for groups that must not run twice and for those that may.
@@ -138,30 +137,42 @@
 	})
 }
 
-// The deduplication window starts with the first attempt that may have run.
+// The deduplication window starts when the first attempt is sent that may have run, whether it was made before or after the
+// one that is to be sent.
 func TestDedupWindowStart(t *testing.T) {
-	r := &Request{
-		group: &group{effect: control.Deduplicated, dedupScope: control.ScopeAll},
-		attempts: [maxAttempts]*Attempt{
-			{createdAt: 1, finished: true, result: control.AtCapacity},
-			{createdAt: 3, finished: true, result: control.ConnectionReset},
-			{createdAt: 4},
-			{createdAt: 4.5},
-		},
-	}
+	r := &Request{group: &group{effect: control.Deduplicated, dedupScope: control.ScopeAll}, attemptCount: 5}
 	r.group.DedupWindow = config.Seconds(2)
-	factsOf := func(index int) rules.RequestFacts {
-		return r.attemptFacts(&Attempt{Index: index}, control.DedupGroup{}, 4.5)
-	}
-	if until := dedupDeadline(factsOf(3)); until != 5 {
-		t.Errorf("the window ends at %g", until)
+	ended := func(createdAt, sentAt float64, result control.Result) *Attempt {
+		return &Attempt{Request: r, createdAt: createdAt, sentAt: sentAt, finished: true, result: result}
 	}
-	if until := dedupDeadline(factsOf(1)); !math.IsInf(until, 1) {
-		t.Error("an attempt that never ran starts the window")
-	}
-	r.group.effect = control.Retriable
-	if until := dedupDeadline(factsOf(3)); !math.IsInf(until, 1) {
-		t.Error("a retriable request has a deduplication window")
+	rejected := ended(1, 1, control.AtCapacity)
+	lost := ended(3, 3.5, control.ConnectionReset)
+	notSent := ended(2, 0, control.NotSent)
+	lostLater := ended(4, 4, control.ConnectionReset)
+	timedOut := ended(3.25, 0, control.TimedOut)
+	for _, c := range []struct {
+		name          string
+		before, after []*Attempt
+		want          float64
+	}{
+		{"no other attempt", nil, nil, math.Inf(1)},
+		{"attempts that never ran", []*Attempt{rejected, notSent}, []*Attempt{rejected}, math.Inf(1)},
+		{"an earlier attempt", []*Attempt{rejected, lost}, nil, 5.5},
+		{"a later attempt", nil, []*Attempt{lost}, 5.5},
+		{"the first one that was sent counts", []*Attempt{lostLater}, []*Attempt{lost}, 5.5},
+		{"a timeout, of which it is not known when it was sent", []*Attempt{timedOut}, nil, 5.25},
+	} {
+		attempt := &Attempt{Request: r}
+		all := append(append(append([]*Attempt{}, c.before...), attempt), c.after...)
+		r.attemptCount = copy(r.attempts[:], all)
+		r.group.effect = control.Deduplicated
+		if until := dedupDeadline(r.attemptFacts(attempt, control.DedupGroup{}, 4.5)); until != c.want {
+			t.Errorf("%s: the window ends at %g, want %g", c.name, until, c.want)
+		}
+		r.group.effect = control.Retriable
+		if until := dedupDeadline(r.attemptFacts(attempt, control.DedupGroup{}, 4.5)); !math.IsInf(until, 1) {
+			t.Errorf("%s: a retriable request has a deduplication window", c.name)
+		}
 	}
 }
 
@@ -263,3 +274,63 @@
 	h.waitUntil("its connections are closed", func() bool { return moved.closedCount() > before })
 	h.expect("write-1", 200, "returned")
 }
+
+// Guards against an attempt that is sent after the deduplication window of a later one, or outside its scope: it has waited for
+// the only connection to a worker that was busy.
+func TestQueuedAttemptIsCheckedAgainstLaterOnes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		zone    string        // of the worker of the later attempt; the queued one is for z0
+		action  workerAction  // of that worker
+		busyFor time.Duration // the other worker's connection; the window is 1 s
+		want    int           // whether the queued attempt is sent
+	}{
+		{"after the window", "z0", resetConnection, 1300 * time.Millisecond, 0},
+		{"within the window", "z0", resetConnection, 200 * time.Millisecond, 1},
+		{"outside the scope", "z1", resetConnection, 200 * time.Millisecond, 0},
+		{"the later one never ran", "z1", rejectAtCapacity, 1300 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			busy := newWorker(t, "w1", delayed(c.busyFor), succeed)
+			later := newWorker(t, "w2", c.action)
+			h := newHarness(t, "limits: {worker_connections: 1}\n", newFaultyModule(func(*faultyModule) {}), busy)
+			h.onLoop(func() {
+				for _, group := range h.gateway.groups {
+					group.DedupWindow = config.Seconds(1)
+				}
+				list := []membership.Entry{
+					{Name: "w1", Addr: busy.addr(), Zone: "z0", State: control.Ready, Weight: 1},
+					{Name: "w2", Addr: later.addr(), Zone: c.zone, State: control.Ready, Weight: 1},
+				}
+				if err := h.gateway.ReplaceWorkers(membership.SourceConfig, list); err != nil {
+					t.Error(err)
+				}
+			})
+			h.waitUntil("w2 is announced", func() bool { return h.worker("w2") != nil && h.worker("w2").announced })
+			h.startAttempt("read-1", "w1")
+			id := h.startAttempt("write-1", "w1")
+			h.onLoop(func() { h.gateway.SendAttempt(id, h.worker("w2").ID, 0) })
+			time.Sleep(c.busyFor + 150*time.Millisecond)
+			if n := len(busy.received()) - 1; n != c.want || len(later.received()) != 1 {
+				t.Errorf("the queued attempt was sent %d times, want %d; %d later attempts", n, c.want, len(later.received()))
+			}
+		})
+	}
+}
+
+// startAttempt posts a request, and makes an attempt at a worker in place of the control module. It returns the request's id.
+func (h *harness) startAttempt(model, worker string) (id control.RequestID) {
+	h.t.Helper()
+	go h.post(model, "", "in")
+	h.waitUntil("the request is in flight", func() bool {
+		for _, r := range h.gateway.requests {
+			if r.inUse && r.model.Name == model {
+				id = r.id
+			}
+		}
+		return id != 0
+	})
+	h.onLoop(func() { h.gateway.SendAttempt(id, h.worker(worker).ID, 0) })
+	return id
+}
--- a/internal/platform/send_queue.go
+++ b/internal/platform/send_queue.go
@@ -107,11 +107,11 @@
 	return call.needsUnusedConn() && t.hasNoConnFor(call) && !call.attempt.MaySendOnNew(t.pool.loop.Now())
 }
 
-// needsUnusedConn reports whether the call must not be written to a connection that has carried an earlier attempt of its
+// needsUnusedConn reports whether the call must not be written to a connection that has carried another attempt of its
 // request. Responses identify an attempt only by the request's id, and a worker may send one twice: on the same connection
 // the second could not be distinguished from the response to the later attempt, which may still run.
 func (c *workerCall) needsUnusedConn() bool {
-	return c.attempt != nil && c.attempt.Index > 0 && c.attempt.Request.Effect() != control.Retriable
+	return c.attempt != nil && len(c.attempt.Siblings()) > 1 && c.attempt.Request.Effect() != control.Retriable
 }
 
 // mayUse reports whether the call may be written to a connection: no attempt of its request has used it, and it leads to a
@@ -123,8 +123,8 @@
 	if !c.attempt.MaySendOn(conn.incarnation, conn.transport.pool.loop.Now()) {
 		return false
 	}
-	for _, earlier := range c.attempt.Earlier() {
-		if earlier.PassedToTransport() && callOf(earlier.TransportState).writtenTo == conn.number {
+	for _, other := range c.attempt.Siblings() {
+		if other != c.attempt && other.PassedToTransport() && callOf(other.TransportState).writtenTo == conn.number {
 			return false
 		}
 	}
--- a/internal/platform/unsent_attempt_test.go
+++ b/internal/platform/unsent_attempt_test.go
@@ -220,3 +220,69 @@
 		t.Errorf("%d attempts sent", n)
 	}
 }
+
+// Guards against an attempt that waits for a stream and is sent after the deduplication window of a later attempt, or outside
+// its scope: what an attempt may still do depends on all others when its first byte is sent.
+func TestQueuedAttemptIsCheckedAgainstLaterOnes(t *testing.T) {
+	for _, c := range []struct {
+		name, group string
+		cell        int           // of the worker of the later attempt; the queued one is for cell 1
+		action      workerAction  // of that worker
+		wait        time.Duration // until a stream is free for the queued attempt; the window is 1 s
+		want        int           // whether it is sent
+	}{
+		{"after the window", "write", 1, resetConn, 1200 * time.Millisecond, 0},
+		{"after the window, the later one in flight", "write", 1, ignore, 1200 * time.Millisecond, 0},
+		{"within the window", "write", 1, resetConn, 300 * time.Millisecond, 1},
+		{"outside the scope", "local", 2, resetConn, 300 * time.Millisecond, 0},
+		{"within the scope", "local", 1, resetConn, 300 * time.Millisecond, 1},
+		{"the later one never ran", "local", 2, respond("overload", "-", ""), 1200 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			busy := newFakeWorker(t, "w1", respondServed)
+			later := newFakeWorker(t, "w2", c.action)
+			h := newPassiveHarness(t, busy)
+			h.publishAndWait(entryJSON("w2", later, "z", c.cell, "active", -1))
+			h.connect(busy)
+			release := h.occupyConn(busy)
+			id := h.startRequest(h.dial(), c.group)
+			h.attempt(id, "w1")
+			h.attempt(id, "w2")
+			time.Sleep(c.wait)
+			release()
+			time.Sleep(200 * time.Millisecond)
+			sent := len(busy.messages("invoke")) - 2
+			if sent != c.want || len(later.messages("invoke")) != 1 {
+				t.Errorf("the queued attempt was sent %d times, want %d; %d later attempts", sent, c.want, len(later.messages("invoke")))
+			}
+		})
+	}
+}
+
+// occupyConn uses up the only stream of the connection to a worker, which gets no other connection, until release is called.
+func (h *harness) occupyConn(worker *fakeWorker) (release func()) {
+	h.t.Helper()
+	blackhole, _ := newBlackhole(h.t)
+	h.onLoop(func() {
+		pool := &h.dispatcher.clients.workers
+		pool.maxStreams = 1
+		pool.connectTimeout = 60
+		for conn := range pool.conns {
+			conn.transport.addr = blackhole
+		}
+	})
+	released := make(chan struct{})
+	worker.setAction(func(conn net.Conn, message workerMessage) {
+		go func() {
+			<-released
+			respondServed(conn, message)
+		}()
+	})
+	h.attempt(h.startRequest(h.dial(), "read"), worker.id)
+	for len(worker.messages("invoke")) < 2 {
+		h.onLoop(func() {})
+	}
+	worker.setAction(respondServed)
+	return func() { close(released) }
+}
