A deduplicated request is shed only if the client's retry comes within the window

Callers could see a deduplicated request take effect twice: shed shortly before the end of its window with a Retry-After of up to 0.5 s, it was sent again by its client when workers no longer dropped it. A shed tells the client that a retry is harmless.

Cause: mayShed in control looked at the window at the time of the shed, and rules.CheckShed allowed any shed of a deduplicated request, whatever its scope and window.

Evidence: on the text before, Shed(0.5 s) of a request that may have run, with 0.3 s left (control), or with a window that ends before the rounded Retry-After (gateway), gives the client "shed" with Retry-After: 1.

The guard takes the time that the client is told (ResponseWriter.RetryDelay), the scope and the window of the attempts. What certainly never ran is shed as before. The other requests fail, which promises nothing.

TestCheckShed had "deduplicated that may have run: allowed"; it now has the case within scope and window, and the two outside.

--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -1,7 +1,5 @@
 package control
 
-import "math"
-
 // Reconcile emits the actions that lead from the actual to the desired state.
 func (d *Dispatcher) Reconcile() {
 	if d.subscription.takeDue(d.now) {
@@ -49,7 +47,7 @@
 		d.actions.SendAttempt(req.id, req.latestAttempt().worker.ID, 0)
 		req.state = statePending
 	case stateShed:
-		d.actions.Shed(req.id, math.Min(req.model.loadTime, d.maxRetryAfter))
+		d.actions.Shed(req.id, d.retryAfter(req))
 		req.state = stateDone
 	case stateFail:
 		d.actions.Fail(req.id)
--- a/control/settings.go
+++ b/control/settings.go
@@ -124,6 +124,9 @@
 	Allowed bool
 	// Max is the longest Retry-After time (limits.max_retry_after).
 	Max Seconds
+	// Resolution is the unit to whose next multiple the host rounds a Retry-After time up, 0 if it does not round
+	// (limits.retry_after_resolution).
+	Resolution Seconds
 }
 
 // GroupSettings are the settings of a model group.
@@ -219,6 +222,7 @@
 	probePrice        float64
 	retryAfterAllowed bool
 	maxRetryAfter     Seconds
+	retryResolution   Seconds
 
 	reportFields []string
 	groups       []*modelGroup
@@ -249,6 +253,7 @@
 		probesAllowed:        p.flag("limits.probes", from.Probes.Allowed),
 		retryAfterAllowed:    p.flag("limits.retry_after", from.RetryAfter.Allowed),
 		maxRetryAfter:        p.number("limits.max_retry_after", from.RetryAfter.Max, 0, 0, infinity),
+		retryResolution:      p.number("limits.retry_after_resolution", from.RetryAfter.Resolution, 0, 0, infinity),
 		probePrice:           p.number("prices.probe", from.Probes.Price, 0, 0, infinity),
 	}
 	if !s.retryAfterAllowed {
--- a/control/settings_values.go
+++ b/control/settings_values.go
@@ -57,8 +57,12 @@
 			Hedging: p.flag("limits.hedging"),
 			Cancel:  p.flag("limits.cancel"),
 		},
-		Probes:     ProbeSettings{Allowed: p.flag("limits.probes"), Price: p.number("prices.probe")},
-		RetryAfter: RetryAfterSettings{Allowed: p.flag("limits.retry_after"), Max: p.number("limits.max_retry_after")},
+		Probes: ProbeSettings{Allowed: p.flag("limits.probes"), Price: p.number("prices.probe")},
+		RetryAfter: RetryAfterSettings{
+			Allowed:    p.flag("limits.retry_after"),
+			Max:        p.number("limits.max_retry_after"),
+			Resolution: p.number("limits.retry_after_resolution"),
+		},
 	}
 	for i := range p.length("load_report.fields") {
 		s.LoadReportFields = append(s.LoadReportFields, values.Text("load_report.fields."+strconv.Itoa(i)))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,8 @@
 	"mastchute/control"
 )
 
+const retryAfterResolution = 1.0 // s, of the Retry-After header of HTTP/1.1
+
 // Config holds the settings of a dispatcher. docs/operators.md describes each setting; the comments here give units and
 // what the field's name and key do not say. A Config is not modified after Load or Parse has returned it.
 type Config struct {
@@ -170,6 +172,8 @@
 		RetryAfter: control.RetryAfterSettings{
 			Allowed: c.Attempts.MaxRetryAfter.Seconds > 0,
 			Max:     c.Attempts.MaxRetryAfter.Seconds,
+
+			Resolution: retryAfterResolution,
 		},
 		LoadReportFields: slices.Clone(c.LoadReportFields),
 	}
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -53,7 +53,8 @@
 	if r == nil || r.Writer == nil {
 		return
 	}
-	if reason := rules.CheckShed(r.shedFacts()); reason != rules.Allowed {
+	retryAt := g.Loop.Now() + r.Writer.RetryDelay(retryAfter)
+	if reason := rules.CheckShed(retryAt, r.shedFacts()); reason != rules.Allowed {
 		g.recordViolation(reason, "shed", r, nil)
 		g.failRequest(r, "it may have run")
 		return
--- a/internal/gateway/http_clients.go
+++ b/internal/gateway/http_clients.go
@@ -288,6 +288,9 @@
 	exchange.FinishResponse(append(b, response.headers...), a.ResponseBody)
 }
 
+// RetryDelay implements ResponseWriter: Retry-After is in whole seconds.
+func (w *httpResponseWriter) RetryDelay(retryAfter float64) float64 { return math.Ceil(retryAfter) }
+
 // WriteShed implements ResponseWriter.
 func (w *httpResponseWriter) WriteShed(r *Request, retryAfter float64) {
 	exchange := w.exchange
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -18,8 +18,8 @@
 // implementation may read the exported fields from the call that passes it the record until the call that finishes it, and
 // owns TransportState. The bytes of a response belong to the transport that received them.
 
-// ResponseWriter writes the final response of one request to its client. The gateway calls exactly one of its methods, once,
-// and then drops its reference. If the client disconnects first, the implementation calls Gateway.ClientDisconnected, after
+// ResponseWriter writes the final response of one request to its client. The gateway calls exactly one of its Write methods,
+// once, and then drops its reference. If the client disconnects first, the implementation calls Gateway.ClientDisconnected, after
 // which the gateway calls none of the methods.
 type ResponseWriter interface {
 	// WriteResponse writes the worker's response to the attempt, or ends the response if it has been streamed.
@@ -27,6 +27,8 @@
 	// WriteShed writes that the request was rejected and that a retry by the client is harmless. retryAfter is the
 	// suggested delay in seconds, 0 for no suggestion.
 	WriteShed(request *Request, retryAfter float64)
+	// RetryDelay returns how long, in seconds, the client is told to wait for if it is given retryAfter, which may be rounded up.
+	RetryDelay(retryAfter float64) float64
 	// WriteFailure writes that the request failed and may have run. timedOut reports whether the client's deadline was the
 	// reason. A response that is being streamed is cut off in such a way that the client notices.
 	WriteFailure(request *Request, timedOut bool, why string)
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -334,3 +334,47 @@
 	h.onLoop(func() { h.gateway.SendAttempt(id, h.worker(worker).ID, 0) })
 	return id
 }
+
+// Guards against an invitation to retry a deduplicated request that may have run, if the client's retry may reach a worker that
+// does not drop it: after the window, or outside the scope. Retry-After is in whole seconds.
+func TestShedOnlyIfRetryIsDropped(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		scope      control.DedupScope
+		window     float64 // s
+		retryAfter float64 // s
+		action     workerAction
+		want       string
+	}{
+		{"within the window", control.ScopeAll, 1.8, 0.5, resetConnection, "shed"},
+		{"the retry comes after the window", control.ScopeAll, 0.8, 0.5, resetConnection, "failed"},
+		{"only some workers drop it", control.ScopeZone, 1.8, 0.5, resetConnection, "failed"},
+		{"it never ran", control.ScopeZone, 0.8, 0.5, rejectAtCapacity, "shed"},
+	} {
+		worker := newWorker(t, "w1", c.action)
+		h := newHarness(t, "", newFaultyModule(func(*faultyModule) {}), worker)
+		h.onLoop(func() {
+			for _, group := range h.gateway.groups {
+				group.dedupScope = c.scope
+				group.DedupWindow = config.Seconds(c.window)
+			}
+		})
+		response := make(chan clientResponse, 1)
+		go func() { response <- h.post("write-1", "", "in") }()
+		var request *Request
+		h.waitUntil("the request is in flight", func() bool {
+			for _, r := range h.gateway.requests {
+				if r.inUse {
+					request = r
+				}
+			}
+			return request != nil
+		})
+		h.onLoop(func() { h.gateway.SendAttempt(request.id, h.worker("w1").ID, 0) })
+		h.waitUntil("the attempt has ended", func() bool { return request.attempts[0].finished })
+		h.onLoop(func() { h.gateway.Shed(request.id, c.retryAfter) })
+		if got := <-response; got.outcome != c.want {
+			t.Errorf("%s: %+v, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/rule_checks.go
+++ b/internal/gateway/rule_checks.go
@@ -89,13 +89,15 @@
 	}
 }
 
-// shedFacts returns the facts that decide whether a request may be shed. An attempt in flight that has not been fully sent
-// counts as one that never ran, since the final response cancels it.
+// shedFacts returns the facts that decide whether a request may be shed, which are those of a retry by the client at any worker.
+// An attempt in flight that has not been fully sent counts as one that never ran, since the final response cancels it.
 func (r *Request) shedFacts() rules.RequestFacts {
-	facts := rules.RequestFacts{Finished: r.finished, Effect: r.group.effect}
+	facts := rules.RequestFacts{Finished: r.finished, Effect: r.group.effect, DedupUntil: math.Inf(1),
+		InDedupScope: !r.group.hasLimitedScope()}
 	for _, a := range r.attempts[:r.attemptCount] {
 		if a.finished && !a.result.NeverRan() || !a.finished && a.Worker.transport.FullySent(a) {
 			facts.MayHaveRun = true
+			facts.DedupUntil = math.Min(facts.DedupUntil, a.sentOrCreatedAt()+r.group.DedupWindow.Seconds)
 		}
 	}
 	return facts
--- a/internal/platform/client_request.go
+++ b/internal/platform/client_request.go
@@ -89,6 +89,11 @@
 	r.release()
 }
 
+// RetryDelay implements gateway.ResponseWriter: the time is sent in whole milliseconds.
+func (r *clientRequest) RetryDelay(retryAfter float64) float64 {
+	return float64(r.conn.transport.retryAfterMillis(retryAfter)) / 1e3
+}
+
 // WriteShed implements gateway.ResponseWriter.
 func (r *clientRequest) WriteShed(_ *gateway.Request, retryAfter float64) {
 	r.conn.write(thrift.AppendShed(r.conn.scratch(), r.seqID, r.conn.transport.retryAfterMillis(retryAfter)))
--- a/internal/platform/unsent_attempt_test.go
+++ b/internal/platform/unsent_attempt_test.go
@@ -286,3 +286,28 @@
 	worker.setAction(respondServed)
 	return func() { close(released) }
 }
+
+// Guards against an invitation to retry a deduplicated request that may have run, if the client's retry would come after the
+// window of 1 s or only the workers of a cell drop it.
+func TestShedOnlyIfRetryIsDropped(t *testing.T) {
+	for _, c := range []struct {
+		name, group string
+		retryAfter  float64 // s
+		want        string
+	}{
+		{"within the window", "write", 0.5, "shed"},
+		{"after the window", "write", 1.1, "failed"},
+		{"only a cell drops it", "local", 0.5, "failed"},
+	} {
+		worker := newFakeWorker(t, "w1", resetConn)
+		h := newPassiveHarness(t, worker)
+		client := h.dial()
+		id := h.startRequest(client, c.group)
+		h.attemptAndWait(id, "w1")
+		h.onLoop(func() { h.dispatcher.Gateway.Shed(id, c.retryAfter) })
+		reply, ok := client.readReply()
+		if got := replyKind(reply); !ok || got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -150,13 +150,20 @@
 	return Allowed
 }
 
-// CheckShed returns Allowed if a request may be shed, which promises the client that a retry is harmless.
-func CheckShed(request RequestFacts) Reason {
+// CheckShed returns Allowed if a request may be shed, which promises the client that a retry at retryAt is harmless. The facts are
+// those of a retry, which may go to any worker.
+func CheckShed(retryAt float64, request RequestFacts) Reason {
 	switch {
 	case request.Finished:
 		return AlreadyFinished
-	case request.MayHaveRun && request.Effect == control.NonRetriable:
+	case !request.MayHaveRun || request.Effect == control.Retriable:
+		return Allowed
+	case request.Effect == control.NonRetriable:
 		return MayHaveRun
+	case !request.InDedupScope:
+		return OutsideDedupScope
+	case retryAt > request.DedupUntil:
+		return DedupWindowExpired
 	}
 	return Allowed
 }
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -83,9 +83,14 @@
 		{"non-retriable that may have run", RequestFacts{Effect: control.NonRetriable, MayHaveRun: true}, MayHaveRun},
 		{"non-retriable that never ran", RequestFacts{Effect: control.NonRetriable}, Allowed},
 		{"answered", RequestFacts{Finished: true}, AlreadyFinished},
-		{"deduplicated that may have run", RequestFacts{Effect: control.Deduplicated, MayHaveRun: true}, Allowed},
+		{"retriable that may have run", RequestFacts{Effect: control.Retriable, MayHaveRun: true}, Allowed},
+		{"deduplicated that never ran", RequestFacts{Effect: control.Deduplicated}, Allowed},
+		{"deduplicated that may have run", deduplicated, Allowed},
+		{"deduplicated by some workers only", outOfScope, OutsideDedupScope},
+		{"deduplicated until before the retry", RequestFacts{Effect: control.Deduplicated, MayHaveRun: true, InDedupScope: true, DedupUntil: 1.9},
+			DedupWindowExpired},
 	} {
-		if got := CheckShed(c.request); got != c.want {
+		if got := CheckShed(2, c.request); got != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
 		}
 	}
