Soak: processes of another zone or cell take the addresses of workers, and the list tells late

The soak deduplicated everywhere (scope all) and replaced processes only after a drain, so that it could not see a repeat outside its scope.

--- a/internal/cli/lab_soak.go
+++ b/internal/cli/lab_soak.go
@@ -25,6 +25,7 @@
 	Plan          bool     `help:"Print the faults of each run."`
 	Outage        bool     `help:"Inject outages of discovery during which workers drain but stay up. The duration of a run depends on its outage." xor:"mode"`
 	Stops         bool     `help:"Stop each dispatcher several times, half of them among other signals, with other faults around each stop. Some runs have a crowd of clients." xor:"mode"`
+	Replacements  bool     `help:"Replace worker processes by others of another zone or cell at the same address, of which the change log tells late. Only workers of one zone or cell drop repeats." xor:"mode"`
 	Shrink        bool     `help:"Reduce the faults of a failed run to those that are needed to violate the guarantee."`
 	Coverage      bool     `help:"Print how many requests were exposed to each kind of fault, and to each pair of kinds."`
 	Trace         bool     `help:"Keep the system calls of each dispatcher and the recorded traffic of a failed run, too. Needs --shims."`
@@ -86,6 +87,8 @@
 		return soak.DrawOutage(seed, bounds)
 	case c.Stops:
 		return soak.DrawStops(seed, bounds)
+	case c.Replacements:
+		return soak.DrawReplacements(seed, bounds)
 	}
 	return soak.Draw(seed, bounds)
 }
@@ -154,6 +157,9 @@
 	if c.Stops {
 		replay += " --stops"
 	}
+	if c.Replacements {
+		replay += " --replacements"
+	}
 	if len(c.Only) > 0 {
 		replay += " --only " + strings.Join(c.Only, ",")
 	}
--- a/internal/soak/changelog/changelog.go
+++ b/internal/soak/changelog/changelog.go
@@ -75,8 +75,15 @@
 	PhaseLeft    = "left"
 )
 
+// Place is where a worker stands.
+type Place struct {
+	Zone string
+	Cell int
+}
+
 // Member returns a worker as a member of the list, in JSON. upSince is Unix time in ms, 0 for a process that was up
 // before the log began.
-func Member(id, address, phase string, upSince int64) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":"std","cell":1,"phase":%q,"size":4,"up_since_ms":%d}`, id, address, phase, upSince)
+func Member(id, address string, place Place, phase string, upSince int64) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":"std","cell":%d,"phase":%q,"size":4,"up_since_ms":%d}`,
+		id, address, place.Zone, place.Cell, phase, upSince)
 }
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 )
@@ -59,7 +60,7 @@
 
 func (s Site) requestClass(name class, effect string) map[string]any {
 	return map[string]any{"name": name, "effect": effect, "aim_us": microseconds(s.Deadline / 3), "deadline_us": microseconds(s.Deadline),
-		"group": "all", "window_us": microseconds(s.Window)}
+		"group": cmp.Or(s.Scope, scopeAll), "window_us": microseconds(s.Window)}
 }
 
 func microseconds(s float64) int { return int(s * 1e6) }
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -100,12 +100,15 @@
 	WorkerChecks int                // load requests for zero replicas
 	DrainedAt    map[string]float64 // when the change log got the event that a worker drains
 	StartedAt    map[string]float64 // when the change log got the event that a worker started
+	GroupOf      map[string]int     // of each worker process, by id
+	BornAt       map[string]float64 // when a worker process started; the change log tells of it at StartedAt
 	Unexpected   []string           // messages that can't be decoded or belong to no request
 }
 
 // newHistory returns an empty history whose clock starts now.
 func newHistory() *history {
-	return &history{start: time.Now(), Attempts: map[string][]*attempt{}, DrainedAt: map[string]float64{}, StartedAt: map[string]float64{}}
+	return &history{start: time.Now(), Attempts: map[string][]*attempt{}, DrainedAt: map[string]float64{}, StartedAt: map[string]float64{},
+		GroupOf: map[string]int{}, BornAt: map[string]float64{}}
 }
 
 // now returns the time on the run's clock.
@@ -117,6 +120,14 @@
 	h.Requests = append(h.Requests, r)
 }
 
+// recordStart records the start of a worker process of a group.
+func (h *history) recordStart(id string, group int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.GroupOf[id] = group
+	h.BornAt[id] = h.now()
+}
+
 func (h *history) addAttempt(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"mastchute/internal/soak/changelog"
 )
 
 // FaultKind names a kind of fault.
@@ -43,6 +45,8 @@
 	DiscoveryOutage FaultKind = "discovery_outage" // the change log is unavailable for longer than outageNotificationDelay
 	WorkerDrains    FaultKind = "worker_drains"    // drains, keeps running until the end of the fault, then a new process starts
 	SignalSeries    FaultKind = "signal_series"    // SIGTERM among other signals, and a restart
+
+	WorkerReplaced FaultKind = "worker_replaced" // ends, and a process of another group starts at its address; the change log tells later
 )
 
 // FaultKinds lists all kinds of fault.
@@ -50,6 +54,9 @@
 	EpollFails, FileFails, ClockStep, WorkerHangs, WorkerStopsReading, WorkerResets, WorkerCorrupts, WorkerRefuses, WorkerLeaves, LinkSlow,
 	ChangeLogFails, ClientsCancel, ClientsFlood}
 
+// ReplacementKinds lists the kinds of fault that DrawReplacements draws in addition to those of FaultKinds.
+var ReplacementKinds = []FaultKind{WorkerReplaced, DiscoveryOutage}
+
 // OutageKinds lists the kinds of fault that DrawOutage draws in addition to those of FaultKinds.
 var OutageKinds = []FaultKind{DiscoveryOutage, WorkerDrains, SignalSeries}
 
@@ -66,7 +73,7 @@
 // targetsWorker reports whether a kind affects one worker.
 func (k FaultKind) targetsWorker() bool {
 	switch k {
-	case WorkerHangs, WorkerStopsReading, WorkerResets, WorkerCorrupts, WorkerRefuses, WorkerLeaves, LinkSlow, WorkerDrains:
+	case WorkerHangs, WorkerStopsReading, WorkerResets, WorkerCorrupts, WorkerRefuses, WorkerLeaves, LinkSlow, WorkerDrains, WorkerReplaced:
 		return true
 	}
 	return false
@@ -126,6 +133,7 @@
 	ConnectTimeout, ConnIdle  float64
 	Streams, Sockets          int
 	RetryAfter, Hedge, Cancel bool
+	Scope                     string // of deduplication: "all", "zone" or "cell"
 
 	Capacity        int     // concurrent requests of a worker, beyond which it rejects; 0 for no limit
 	RunTime         float64 // mean run time of a request; 0 for defaultRunTime
@@ -133,6 +141,27 @@
 	RequestInterval float64 // mean between the requests of one client; 0 for meanRequestInterval
 }
 
+// workerGroups is the number of groups of workers. Those of one group are in one zone and one cell.
+const workerGroups = 2
+
+// place returns where the workers of a group stand.
+func (s Site) place(group int) changelog.Place {
+	switch s.Scope {
+	case scopeZone:
+		return changelog.Place{Zone: fmt.Sprintf("z%d", group), Cell: 1}
+	case scopeCell:
+		return changelog.Place{Zone: "z", Cell: 1 + group}
+	}
+	return changelog.Place{Zone: "z", Cell: 1}
+}
+
+// The scopes of deduplication.
+const (
+	scopeAll  = "all"
+	scopeZone = "zone"
+	scopeCell = "cell"
+)
+
 // clients returns the number of clients of each dispatcher.
 func (s Site) clients() int {
 	if s.Clients > 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -243,6 +243,8 @@
 		r.workers[f.Target].resetConnections(resetProbability)
 	case WorkerLeaves:
 		r.replaceWorker(r.workers[f.Target], r.plan.Site.Grace+drainMargin)
+	case WorkerReplaced:
+		r.replaceUnannounced(r.workers[f.Target], f.Amount)
 	case WorkerDrains:
 		r.replaceWorker(r.workers[f.Target], f.To-r.history.now())
 	}
@@ -275,9 +277,28 @@
 	r.history.update(func() { r.history.DrainedAt[id] = r.history.now() })
 	r.changeLog.Append(false, w.member(changelog.PhaseLeaving))
 	time.Sleep(seconds(drainTime))
-	oldID, newID := w.replace()
+	oldPlace := w.place()
+	oldID, newID := w.replace(w.group)
+	r.announceReplacement(w, oldID, newID, oldPlace)
+}
+
+// replaceUnannounced replaces the process of a worker at once by one of the next group at its address. The change log tells of
+// it newsDelay seconds later.
+func (r *runner) replaceUnannounced(w *worker, newsDelay float64) {
+	if !w.beginReplacement() {
+		return
+	}
+	defer w.endReplacement()
+	oldPlace := w.place()
+	oldID, newID := w.replace((w.group + 1) % workerGroups)
+	time.Sleep(seconds(newsDelay))
+	r.announceReplacement(w, oldID, newID, oldPlace)
+}
+
+// announceReplacement adds the replacement of a worker's process to the change log.
+func (r *runner) announceReplacement(w *worker, oldID, newID string, oldPlace changelog.Place) {
 	r.history.update(func() { r.history.StartedAt[newID] = r.history.now() })
-	r.changeLog.Append(false, changelog.Member(oldID, w.address, changelog.PhaseLeft, 0), w.member(changelog.PhaseActive))
+	r.changeLog.Append(false, changelog.Member(oldID, w.address, oldPlace, changelog.PhaseLeft, 0), w.member(changelog.PhaseActive))
 }
 
 // activeFault returns the fault of a kind that is active now at a target, nil for none.
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -23,6 +23,8 @@
 	id          string // of the current process
 	incarnation int
 	upSince     int64 // Unix time in ms; 0 for a process that was up before the run
+	group       int   // of the process: workers of the same group drop each other's repeats
+	replacing   bool  // the change log has not told of the latest replacement
 	draining    bool
 	running     int             // running requests
 	loaded      map[string]bool // by model
@@ -40,9 +42,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for worker %d: %w", index, err)
 	}
-	w := &worker{run: run, index: index, listener: listener, address: listener.Addr().String(),
+	w := &worker{run: run, index: index, listener: listener, address: listener.Addr().String(), group: index % workerGroups,
 		rnd: rand.New(rand.NewPCG(run.plan.Seed, uint64(firstWorkerRandomStream+index))), loaded: map[string]bool{}, conns: map[net.Conn]bool{}}
 	w.id = w.currentID()
+	run.history.recordStart(w.id, w.group)
 	go w.accept()
 	return w, nil
 }
@@ -50,6 +53,9 @@
 // workerIDPrefix returns the common prefix of the ids of a worker's processes.
 func workerIDPrefix(index int) string { return fmt.Sprintf("s-%02d-", index) }
 
+// firstIncarnationSuffix ends the ids of the processes that were up before the run.
+const firstIncarnationSuffix = "-0"
+
 func (w *worker) currentID() string {
 	return fmt.Sprintf("%s%d", workerIDPrefix(w.index), w.incarnation)
 }
@@ -110,21 +116,47 @@
 	}
 }
 
-// beginDrain marks the process as draining and returns its id. ok is false if it is draining already.
+// beginReplacement prepares the replacement of the process. It returns false if one is under way.
+func (w *worker) beginReplacement() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.draining || w.replacing {
+		return false
+	}
+	w.replacing = true
+	return true
+}
+
+// endReplacement is called when the change log has told of the replacement.
+func (w *worker) endReplacement() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.replacing = false
+}
+
+// place returns where the present process stands.
+func (w *worker) place() changelog.Place {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.run.plan.Site.place(w.group)
+}
+
+// beginDrain marks the process as draining and returns its id. ok is false if it is draining already or is being replaced.
 func (w *worker) beginDrain() (id string, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.draining {
+	if w.draining || w.replacing {
 		return "", false
 	}
 	w.draining = true
 	return w.id, true
 }
 
-// replace ends the process and starts a new one with no models loaded, under a new id at the same address.
-func (w *worker) replace() (oldID, newID string) {
+// replace ends the process and starts a new one of a group with no models loaded, under a new id at the same address.
+func (w *worker) replace(group int) (oldID, newID string) {
 	w.mu.Lock()
 	oldID = w.id
+	w.group = group
 	w.incarnation++
 	w.id = w.currentID()
 	newID = w.id
@@ -132,6 +164,7 @@
 	w.draining = false
 	w.loaded = map[string]bool{}
 	w.mu.Unlock()
+	w.run.history.recordStart(newID, group)
 	w.resetConnections(1)
 	return oldID, newID
 }
@@ -191,5 +224,5 @@
 func (w *worker) member(phase string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return changelog.Member(w.id, w.address, phase, w.upSince)
+	return changelog.Member(w.id, w.address, w.run.plan.Site.place(w.group), phase, w.upSince)
 }
