--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -93,15 +93,19 @@
 	return w.address.Listed(occupant)
 }
 
-// replacedBy returns the workers that are listed at the address of a worker whose process started after theirs: their
+// replacedAt returns the workers that are listed at an address at which the process of another one started after theirs: their
 // processes have ended.
-func (g *Gateway) replacedBy(replacement *Worker) (replaced []*Worker) {
-	if !replacement.StartProvided || replacement.State == control.Gone {
-		return nil
-	}
+func (g *Gateway) replacedAt(address *incarnation.Address) (replaced []*Worker) {
+	var listed []*Worker
+	latest := 0.0
 	for _, w := range g.workers {
-		isOlder := w.StartProvided && w.Entry.StartEpoch < replacement.Entry.StartEpoch
-		if w.address == replacement.address && isOlder && w.State != control.Gone {
+		if w.address == address && w.StartProvided && w.State != control.Gone {
+			listed = append(listed, w)
+			latest = math.Max(latest, w.Entry.StartEpoch)
+		}
+	}
+	for _, w := range listed {
+		if w.Entry.StartEpoch < latest {
 			replaced = append(replaced, w)
 		}
 	}
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -85,7 +85,7 @@
 		w := g.workerFor(member)
 		if g.recordOccupant(w, g.Loop.Now()) {
 			incarnationsChanged = true
-			for _, replaced := range g.replacedBy(w) {
+			for _, replaced := range g.replacedAt(w.address) {
 				changed = append(changed, g.Members.MarkReplaced(replaced.Worker, g.Loop.Now())...)
 			}
 		}
--- a/internal/httpconn/client_response.go
+++ b/internal/httpconn/client_response.go
@@ -7,7 +7,7 @@
 	if !tcp.IsOpen() {
 		return len(input)
 	}
-	c.incarnation.Heard(c.pool.Loop.ArrivedAt())
+	c.incarnation.Heard(tcp.ReceivedAt())
 	if c.call == nil {
 		if len(input) > 0 { // a response without a request: later responses could not be matched to requests either
 			c.closeIdle()
--- a/internal/incarnation/incarnation.go
+++ b/internal/incarnation/incarnation.go
@@ -57,11 +57,12 @@
 func (a *Address) Listed(occupant Occupant) (changed bool) {
 	known := slices.IndexFunc(a.occupants, func(other Occupant) bool { return other.isSame(&occupant) })
 	last := len(a.occupants) - 1
-	if known >= 0 {
-		wasGone := known == last && !math.IsInf(a.goneAt, 1)
-		if wasGone {
-			a.goneAt = math.Inf(1)
-		}
+	switch {
+	case known >= 0 && known < last: // it was replaced
+		return true
+	case known >= 0:
+		wasGone := !math.IsInf(a.goneAt, 1)
+		a.goneAt = math.Inf(1)
 		return wasGone
 	}
 	if last >= 0 && occupant.StartEpoch < a.occupants[last].StartEpoch { // a late event about an earlier process
--- a/internal/platform/replaced_worker_test.go
+++ b/internal/platform/replaced_worker_test.go
@@ -206,6 +206,13 @@
 	if n := len(replaced.messages("invoke")); n != 1 {
 		t.Errorf("%d attempts at the entry of the present process, want 1", n)
 	}
+	h.publishAndWait(entryJSON("w1", replaced, "z", 1, "left", -1))
+	h.publishAndWait(entryJSON("w1", replaced, "z", 1, "active", -1)) // a late event about the process that was replaced
+	h.onLoop(func() {
+		if state := h.dispatcher.Gateway.Members.ByName("w1").StateName(); state != "gone" {
+			t.Errorf("w1 was replaced and is %s", state)
+		}
+	})
 	h.publishAndWait(entryJSON("w1", replaced, "z", 1, "active", 0)) // a later process of that name
 	h.onLoop(func() {
 		if state := h.dispatcher.Gateway.Members.ByName("w1").StateName(); state != "ready" {
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -140,7 +140,7 @@
 func (c *workerConn) Received(_ *eventloop.Conn, data []byte) int {
 	used := 0
 	pool := c.transport.pool
-	c.incarnation.Heard(pool.loop.ArrivedAt())
+	c.incarnation.Heard(c.conn.ReceivedAt())
 	for !c.closed {
 		response, n, err := workerproto.ReadResponse(data[used:])
 		if err != nil {
