A zone drops repeats also where only the cell of the process is unknown

Callers saw a deduplicated request with the scope zone failed that had been sent again before: a process of another cell of the same zone had taken the worker's address at about the time of the attempt, or without a known start (over HTTP/1.1). All workers of the zone drop the repeat, whichever of the two processes ran it.

Cause: what is known of the place of a process was one flag. Two possible processes of different cells made the whole place unknown, and mayRepeat and attemptFacts hold back repeats of an unknown place.

Why it works: zone and cell are known or not each by itself (ZoneKnown, CellKnown), package incarnation keeps what all possible processes have in common, and each scope asks for the part that it goes by.

--- a/control/events.go
+++ b/control/events.go
@@ -59,11 +59,18 @@
 	StartedAt Seconds // time of the latest start, -Inf if it was long ago or is unknown
 }
 
-// DedupGroup is the place of the worker process that an attempt has reached, which decides which workers drop its repeats.
+// DedupGroup is the place of the worker process that an attempt has reached, which decides which workers drop its repeats. The
+// zero value stands for a process that may be that of any worker.
 type DedupGroup struct {
-	Zone  ZoneID
-	Cell  CellID
-	Known bool // false if the process may be that of any worker
+	Zone      ZoneID
+	Cell      CellID
+	ZoneKnown bool
+	CellKnown bool // implies ZoneKnown
+}
+
+// KnownGroup returns the group of a process whose place is certain.
+func KnownGroup(zone ZoneID, cell CellID) DedupGroup {
+	return DedupGroup{Zone: zone, Cell: cell, ZoneKnown: true, CellKnown: true}
 }
 
 // EndpointListKind is the kind of a watch event of the endpoint list.
--- a/control/incarnations.go
+++ b/control/incarnations.go
@@ -4,7 +4,10 @@
 
 // dedupGroup returns the group that an attempt at the worker is expected to reach.
 func (w *worker) dedupGroup() DedupGroup {
-	return DedupGroup{Zone: w.Zone, Cell: w.Cell, Known: !w.unidentified}
+	if w.unidentified {
+		return DedupGroup{}
+	}
+	return KnownGroup(w.Zone, w.Cell)
 }
 
 // WorkerIdentified implements Module.
@@ -43,8 +46,8 @@
 		}
 		for i := range req.attempts[:req.attempted] {
 			a := &req.attempts[i]
-			if a.worker == known && !a.traced && a.sentAt > info.StartedAt {
-				a.group = DedupGroup{Zone: info.Zone, Cell: info.Cell, Known: a.group.Known}
+			if a.worker == known && !a.traced && a.group.ZoneKnown && a.sentAt > info.StartedAt {
+				a.group = KnownGroup(info.Zone, info.Cell)
 			}
 		}
 	}
--- a/control/rules.go
+++ b/control/rules.go
@@ -45,9 +45,9 @@
 	case ScopeAll:
 		return true
 	case ScopeZone:
-		return earlier.Known && target.Known && earlier.Zone == target.Zone
+		return earlier.ZoneKnown && target.ZoneKnown && earlier.Zone == target.Zone
 	case ScopeCell:
-		return earlier.Known && target.Known && earlier.Zone == target.Zone && earlier.Cell == target.Cell
+		return earlier.CellKnown && target.CellKnown && earlier.Zone == target.Zone && earlier.Cell == target.Cell
 	default:
 		return false
 	}
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -24,7 +24,7 @@
 //	list-lease CONFIRMED NOTIFIED END  sets the times of the endpoint list's lease
 //	connections-lost WORKER            the connections to a worker are reset
 //	identified WORKER true|false       attempts at a worker certainly reach its process, or may reach another one
-//	traced N.A unknown|zone=N,cell=N   attempt A of request N has reached a worker of a group
+//	traced N.A unknown|zone=N[,cell=N] attempt A of request N has reached a worker of a group
 //	client-cancels N                   the client cancels request N
 //	discovery-failed                   a call to discovery fails
 //	wait S                             advances the time by S and fires the timers that are due
@@ -210,7 +210,8 @@
 func (p *player) playTraced(args []string) {
 	id, number, _ := strings.Cut(args[0], ".")
 	place := options(strings.Split(args[1], ","))
-	group := DedupGroup{Zone: ZoneID(num(place["zone"], 0)), Cell: CellID(num(place["cell"], 0)), Known: args[1] != "unknown"}
+	group := DedupGroup{Zone: ZoneID(num(place["zone"], 0)), Cell: CellID(num(place["cell"], 0)), ZoneKnown: place["zone"] != "",
+		CellKnown: place["cell"] != ""}
 	p.event(func() { p.d.AttemptTraced(RequestID(num(id, 0)), int(num(number, 0)), group) })
 }
 
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -25,8 +25,10 @@
 	a := g.addAttempt(r, w)
 	w.metrics.attempts.Inc()
 	g.RecordEvent("attempt_started", "", r, w, timeout)
-	a.reportedGroup = w.dedupGroup()
-	a.reportedGroup.Known = !w.unidentified
+	a.reportedGroup = control.DedupGroup{}
+	if !w.unidentified {
+		a.reportedGroup = w.dedupGroup()
+	}
 	facts := r.attemptFacts(a, g.groupExpected(w, a.createdAt), a.createdAt)
 	if reason := rules.CheckAttempt(a.createdAt, facts, w.facts(g)); reason != rules.Allowed {
 		g.Metrics.countGuard("forward_barred")
--- a/internal/gateway/dedup_window.go
+++ b/internal/gateway/dedup_window.go
@@ -23,7 +23,7 @@
 		facts.DedupUntil = math.Min(facts.DedupUntil, other.sentOrCreatedAt()+r.group.DedupWindow.Seconds)
 		if r.group.hasLimitedScope() {
 			reached := attempt.gateway.groupOf(other, now)
-			facts.Identified = facts.Identified && reached.Known && target.Known
+			facts.Identified = facts.Identified && r.group.isKnown(reached) && r.group.isKnown(target)
 			facts.InDedupScope = facts.InDedupScope && r.group.dedupScopeCovers(reached, target)
 		}
 	}
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -20,7 +20,7 @@
 
 func groupOfMember(member *membership.Worker) control.DedupGroup {
 	info := member.Advertised()
-	return control.DedupGroup{Zone: info.Zone, Cell: info.Cell, Known: true}
+	return control.KnownGroup(info.Zone, info.Cell)
 }
 
 // addressOf returns the record of an address, and creates it if there is none.
@@ -70,7 +70,9 @@
 // groupExpected returns the group that a new attempt at a worker reaches on the best of its connections.
 func (g *Gateway) groupExpected(w *Worker, now float64) control.DedupGroup {
 	group := w.dedupGroup()
-	group.Known = w.address.Reaches(group, g.listCompleteAt(now))
+	if !w.address.Reaches(group, g.listCompleteAt(now)) {
+		return control.DedupGroup{}
+	}
 	return group
 }
 
@@ -148,8 +150,11 @@
 // reportIdentity notifies the control module if it has changed whether an attempt at a worker certainly reaches the process of
 // its entry.
 func (g *Gateway) reportIdentity(w *Worker) {
-	unidentified := !g.groupExpected(w, g.Loop.Now()).Known
-	if !w.announced || !g.listSubscribed || unidentified == w.unidentified {
+	if !w.announced || !g.listSubscribed {
+		return
+	}
+	unidentified := !w.address.Reaches(w.dedupGroup(), g.listCompleteAt(g.Loop.Now()))
+	if unidentified == w.unidentified {
 		return
 	}
 	w.unidentified = unidentified
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -114,7 +114,7 @@
 				state, _ := a.TransportState.(*httpAttempt)
 				if a.Index > 0 && !a.finished && state.call.SentAt == 0 {
 					expired++
-					state.call.SendDeadline = h.gateway.Loop.Now() - 0.001
+					a.SendDeadline = h.gateway.Loop.Now() - 0.001
 					r.group.DedupWindow = config.Seconds(0)
 				}
 			}
@@ -222,13 +222,15 @@
 	for _, c := range []struct {
 		name      string
 		zone      string // of the worker that is listed at the address from then on, empty for none
-		inZone    int    // repeats at another worker of the first one's zone
-		otherZone int    // repeats at one of another zone
+		cell      string
+		inZone    int // repeats at another worker of the first one's zone
+		otherZone int // repeats at one of another zone
 		outcome   string
 	}{
-		{"by one of another zone", "z1", 0, 0, "failed"},
-		{"by one of the same zone", "z0", 1, 0, "returned"},
-		{"by none", "", 1, 0, "returned"},
+		{"by one of another zone", "z1", "", 0, 0, "failed"},
+		{"by one of the same zone", "z0", "", 1, 0, "returned"},
+		{"by one of another cell of the zone", "z0", "c9", 1, 0, "returned"},
+		{"by none", "", "", 1, 0, "returned"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			release := make(chan struct{})
@@ -246,7 +248,7 @@
 				{Name: "w3", Addr: otherZone.addr(), Zone: "z1", State: control.Ready, Weight: 1},
 			}
 			if c.zone != "" {
-				list = append(list, membership.Entry{Name: "w9", Addr: taken.addr(), Zone: c.zone, State: control.Draining, Weight: 1})
+				list = append(list, membership.Entry{Name: "w9", Addr: taken.addr(), Zone: c.zone, Cell: c.cell, State: control.Draining, Weight: 1})
 			}
 			h.onLoop(func() {
 				if err := h.gateway.ReplaceWorkers(membership.SourceConfig, list); err != nil {
--- a/internal/gateway/rule_checks.go
+++ b/internal/gateway/rule_checks.go
@@ -26,6 +26,14 @@
 	return facts
 }
 
+// isKnown reports whether as much is known of the place of a worker process as the scope of deduplication goes by.
+func (g *group) isKnown(place control.DedupGroup) bool {
+	if g.dedupScope == control.ScopeZone {
+		return place.ZoneKnown
+	}
+	return place.CellKnown
+}
+
 // dedupScopeCovers reports whether the workers of two groups drop each other's repeats.
 func (g *group) dedupScopeCovers(a, b control.DedupGroup) bool {
 	switch g.dedupScope {
--- a/internal/incarnation/incarnation.go
+++ b/internal/incarnation/incarnation.go
@@ -135,26 +135,39 @@
 	c.address.open = slices.DeleteFunc(c.address.open, func(other *Connection) bool { return other == c })
 }
 
-// Group returns the group of the process at the other end, which is not known if the evidence allows several.
+// Group returns the group of the process at the other end, or as much of it as the evidence shows.
 // listCompleteAt is the time until which the endpoint list is known to be complete.
 func (c *Connection) Group(listCompleteAt float64) control.DedupGroup {
 	a := c.address
 	if c.mayBeUnlisted(math.Min(listCompleteAt, a.goneAt)) {
 		return control.DedupGroup{}
 	}
-	group := control.DedupGroup{}
+	var group control.DedupGroup
+	found := false
 	for i := range a.occupants {
-		if !c.mayLeadTo(i) {
-			continue
+		switch {
+		case !c.mayLeadTo(i):
+		case !found:
+			found = true
+			group = a.occupants[i].Group
+		default:
+			group = common(group, a.occupants[i].Group)
 		}
-		if group.Known && group != a.occupants[i].Group {
-			return control.DedupGroup{}
-		}
-		group = a.occupants[i].Group
 	}
 	return group
 }
 
+// common returns what is certain of the place of a process that is of one of two groups.
+func common(a, b control.DedupGroup) control.DedupGroup {
+	switch {
+	case !a.ZoneKnown || a.Zone != b.Zone:
+		return control.DedupGroup{}
+	case !a.CellKnown || a.Cell != b.Cell:
+		return control.DedupGroup{Zone: a.Zone, ZoneKnown: true}
+	}
+	return a
+}
+
 // mayBeUnlisted reports whether the connection may lead to a process that the list has not shown, if its entries were right
 // until completeAt: it was established later, or soon after an earlier connection was lost, so that the list may not have
 // shown the replacement yet.
--- a/internal/incarnation/incarnation_test.go
+++ b/internal/incarnation/incarnation_test.go
@@ -8,8 +8,11 @@
 )
 
 var (
-	cell1 = control.DedupGroup{Zone: 1, Cell: 1, Known: true}
-	cell2 = control.DedupGroup{Zone: 1, Cell: 2, Known: true}
+	cell1     = control.KnownGroup(1, 1)
+	cell2     = control.KnownGroup(1, 2)
+	otherZone = control.KnownGroup(2, 2)
+	someCell  = control.DedupGroup{Zone: 1, ZoneKnown: true} // of zone 1
+	unknown   = control.DedupGroup{}
 )
 
 // occupant returns an entry whose process started within 0.5 s of the given time.
@@ -40,11 +43,12 @@
 	}{
 		{"opened before the start of the next one", occupant("b", cell2, 10), 5, 5, cell1},
 		{"opened after it", occupant("b", cell2, 10), 11, 11, cell2},
-		{"opened at about its start, and not heard since", occupant("b", cell2, 10), 10.1, 10.2, control.DedupGroup{}},
+		{"opened at about its start, and not heard since", occupant("b", otherZone, 10), 10.1, 10.2, unknown},
+		{"opened at about its start, in the same zone", occupant("b", cell2, 10), 10.1, 10.2, someCell},
 		{"opened at about its start, and heard later", occupant("b", cell2, 10), 10.1, 12, cell2},
 		{"opened at about its start, but in the same cell", occupant("b", cell1, 10), 10.1, 10.2, cell1},
-		{"open throughout, which contradicts the start", occupant("b", cell2, 10), 5, 12, control.DedupGroup{}},
-		{"the start is unknown", unknownStart("b", cell2, 20), 5, 5, control.DedupGroup{}},
+		{"open throughout, which contradicts the start", occupant("b", cell2, 10), 5, 12, unknown},
+		{"the start is unknown", unknownStart("b", otherZone, 20), 5, 5, unknown},
 		{"the start is unknown, and it was heard after the list had shown it", unknownStart("b", cell2, 20), 5, 21, cell2},
 		{"a late event about an earlier process", occupant("z", cell2, -20), 5, 5, cell1},
 	} {
@@ -67,8 +71,8 @@
 		want             control.DedupGroup
 	}{
 		{"established before", math.Inf(-1), 5, 6, cell1},
-		{"established later", math.Inf(-1), 7, 6, control.DedupGroup{}},
-		{"shortly after another was lost", 4, 5, 6, control.DedupGroup{}},
+		{"established later", math.Inf(-1), 7, 6, unknown},
+		{"shortly after another was lost", 4, 5, 6, unknown},
 		{"long after another was lost", 4, 5, 4 + maxListDelay, cell1},
 		{"the list may be relied on", 4, 5, AlwaysComplete, cell1},
 	} {
@@ -99,7 +103,7 @@
 	if !address.Gone("a", 8) || address.Gone("b", 8) {
 		t.Error("only the listed entry can be gone")
 	}
-	if before.Group(AlwaysComplete) != cell1 || after.Group(AlwaysComplete).Known || address.Reaches(cell1, AlwaysComplete) != true {
+	if before.Group(AlwaysComplete) != cell1 || after.Group(AlwaysComplete) != unknown || address.Reaches(cell1, AlwaysComplete) != true {
 		t.Errorf("%+v before the loss, %+v after it", before.Group(AlwaysComplete), after.Group(AlwaysComplete))
 	}
 	before.Closed()
@@ -120,7 +124,7 @@
 	for i := range maxOccupants {
 		address.Listed(occupant("next", cell2, float64(10*(i+1))))
 	}
-	if first.Group(AlwaysComplete).Known || len(address.occupants) != maxOccupants {
+	if first.Group(AlwaysComplete) != unknown || len(address.occupants) != maxOccupants {
 		t.Errorf("%+v, %d occupants", first.Group(AlwaysComplete), len(address.occupants))
 	}
 }
--- a/internal/platform/replaced_worker_test.go
+++ b/internal/platform/replaced_worker_test.go
@@ -140,6 +140,9 @@
 		{"replaced at about the time of the attempt", "local", func(at *fakeWorker) []string {
 			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", justNow)}
 		}, 0, 0},
+		{"replaced in the same zone at about the time of the attempt", "regional", func(at *fakeWorker) []string {
+			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", justNow)}
+		}, 1, 1},
 		{"all workers drop the repeat", "write", func(at *fakeWorker) []string {
 			return []string{entryJSON("w1", at, "z", 1, "left", -1), entryJSON("new", at, "z", 2, "active", longBefore)}
 		}, 1, 1},
