Less state: send deadlines of HTTP calls, the mark of replaced entries, reports nobody needs

Whether an entry was replaced follows from the address that was taken. Where no group of models has a limited scope, the gateway reports no identities of workers and traces no attempts: control asks for neither then, and each report made it place queued requests again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,6 +47,7 @@
 	requestIDPrefix string // unique to this start of the dispatcher
 	tenants         map[string]int
 	groups          []*group
+	anyLimitedScope bool       // only some workers drop repeats of some group
 	random          *rand.Rand // for jitter, so that dispatchers do not act in unison
 
 	// The control module, nil before it is created and after it has panicked.
@@ -182,6 +184,7 @@
 			metrics:    g.Metrics.forGroup(c.Name),
 		})
 	}
+	g.anyLimitedScope = slices.ContainsFunc(g.groups, (*group).hasLimitedScope)
 	for i, t := range cfg.Tenants {
 		g.tenants[t.Name] = i
 	}
--- a/internal/gateway/http_workers.go
+++ b/internal/gateway/http_workers.go
@@ -61,7 +61,6 @@
 	state.contentLength = -1
 	state.metadata = responseMetadata{}
 	state.head = t.gateway.appendAttemptHead(state.head[:0], a, exchange)
-	state.call.SendDeadline = a.SendDeadline
 	t.Do(&state.call, state.head, exchange.Body)
 }
 
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -142,6 +142,9 @@
 // reportIdentities notifies the control module of all workers for which it has changed whether an attempt certainly reaches
 // the process of the entry.
 func (g *Gateway) reportIdentities() {
+	if !g.anyLimitedScope {
+		return
+	}
 	for _, w := range g.workers {
 		g.reportIdentity(w)
 	}
@@ -150,7 +153,7 @@
 // reportIdentity notifies the control module if it has changed whether an attempt at a worker certainly reaches the process of
 // its entry.
 func (g *Gateway) reportIdentity(w *Worker) {
-	if !w.announced || !g.listSubscribed {
+	if !g.anyLimitedScope || !w.announced || !g.listSubscribed {
 		return
 	}
 	unidentified := !w.address.Reaches(w.dedupGroup(), g.listCompleteAt(g.Loop.Now()))
@@ -163,6 +166,9 @@
 
 // traceAttempts notifies the control module of the groups that the attempts of all requests have reached.
 func (g *Gateway) traceAttempts() {
+	if !g.anyLimitedScope {
+		return
+	}
 	for _, r := range g.requests {
 		if !r.inUse || r.finished {
 			continue
--- a/internal/httpconn/call.go
+++ b/internal/httpconn/call.go
@@ -49,9 +49,6 @@
 	Connection *incarnation.Connection
 	// IsHead is set for a HEAD request, whose response has no body.
 	IsHead bool
-	// SendDeadline is the time on the loop's clock, in seconds, after which the request must not be sent any more: the call
-	// then ends with ErrNotSent. 0 means no deadline.
-	SendDeadline float64
 
 	pool           *Pool
 	conn           *clientConn // nil while the call is queued and after it has ended
--- a/internal/httpconn/client_conn.go
+++ b/internal/httpconn/client_conn.go
@@ -62,10 +62,6 @@
 
 // refreshHead reports whether a call may be sent, and rewrites its head if it has waited too long.
 func (c *clientConn) refreshHead(call *Call) bool {
-	now := c.pool.Loop.Clock()
-	if call.SendDeadline > 0 && now > call.SendDeadline {
-		return false
-	}
 	handler, ok := call.Handler.(SendHandler)
 	if !ok {
 		return true
@@ -73,6 +69,7 @@
 	if !handler.MaySend(c.incarnation) {
 		return false
 	}
+	now := c.pool.Loop.Clock()
 	if now-call.headBuiltAt > rules.MaxDeadlineAge {
 		call.head = handler.RewriteHead()
 		call.headBuiltAt = now
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -131,7 +131,6 @@
 // MarkReplaced records that another process has taken the address of a worker. The worker is gone until a source lists it with
 // another start or address.
 func (l *List) MarkReplaced(w *Worker, now float64) (changed []*Worker) {
-	w.replaced = true
 	w.replacedStart = w.Entry.StartEpoch
 	w.replacedAddr = w.Addr
 	return l.mergeSources(now)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -77,7 +77,7 @@
 			state = entry.State
 		}
 	}
-	if w.replaced && w.Entry.StartEpoch == w.replacedStart && w.Addr == w.replacedAddr {
+	if w.replacedAddr.IsValid() && w.Addr == w.replacedAddr && w.Entry.StartEpoch == w.replacedStart {
 		return control.Gone
 	}
 	if w.Listed && w.hasAdminState && strictness(w.adminState) > strictness(state) {
--- a/internal/membership/worker.go
+++ b/internal/membership/worker.go
@@ -52,10 +52,9 @@
 
 	StartupProbe
 	startHistory  startHistory
-	replaced      bool    // another process has taken replacedAddr from the one that started at replacedStart
-	replacedStart float64 // StartEpoch of its entry then
-	replacedAddr  netip.AddrPort
-	awaitingProbe bool // ready again, and its startup probe has not finished
+	replacedAddr  netip.AddrPort // another process has taken this address from the worker's; not valid for none
+	replacedStart float64        // StartEpoch of the worker's entry then
+	awaitingProbe bool           // ready again, and its startup probe has not finished
 	entries       [sourceCount]Entry
 	listedBy      [sourceCount]bool
 	// adminState is the state that the admin interface has set. It applies if hasAdminState is true.
