--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -23,6 +23,7 @@
 	changeLog  *fakeChangeLog
 	config     *ConfigFile
 	newModule  gateway.NewModule // nil for the control module
+	passive    *passiveModule    // the module of newPassiveHarness
 }
 
 // testGroups has a model group for each effect: read may be retried, write is deduplicated, by all workers, local by those of a
--- a/internal/platform/passive_module_test.go
+++ b/internal/platform/passive_module_test.go
@@ -6,14 +6,26 @@
 	"mastchute/control"
 )
 
-// passiveModule is a control module that decides nothing: a test makes the attempts of each request itself.
-type passiveModule struct{ control.Module }
-
-func (passiveModule) RequestArrived(control.Request)                           {}
-func (passiveModule) AttemptFinished(control.AttemptResult)                    {}
-func (passiveModule) AttemptTraced(control.RequestID, int, control.DedupGroup) {}
-func (passiveModule) RequestCancelled(control.RequestID)                       {}
-func (passiveModule) ResponseStarted(control.RequestID, int, control.WorkerID, control.Seconds) {
+// passiveModule is a control module that decides nothing: a test makes the attempts of each request itself. It records what the
+// gateway reports about the processes that attempts reach.
+type passiveModule struct {
+	control.Module
+	identified map[control.WorkerID][]bool // reports for each worker
+	traced     []control.DedupGroup        // reports for all attempts
+}
+
+func (m *passiveModule) WorkerIdentified(id control.WorkerID, identified bool) {
+	m.identified[id] = append(m.identified[id], identified)
+}
+
+func (m *passiveModule) AttemptTraced(_ control.RequestID, _ int, group control.DedupGroup) {
+	m.traced = append(m.traced, group)
+}
+
+func (*passiveModule) RequestArrived(control.Request)        {}
+func (*passiveModule) AttemptFinished(control.AttemptResult) {}
+func (*passiveModule) RequestCancelled(control.RequestID)    {}
+func (*passiveModule) ResponseStarted(control.RequestID, int, control.WorkerID, control.Seconds) {
 }
 
 // newPassiveHarness starts a dispatcher whose control module decides nothing.
@@ -21,7 +33,8 @@
 	t.Helper()
 	h := &harness{t: t, changeLog: newFakeChangeLog(t)}
 	h.newModule = func(seed uint64, settings control.Settings, actions control.Actions) control.Module {
-		return passiveModule{control.New(seed, settings, actions)}
+		h.passive = &passiveModule{Module: control.New(seed, settings, actions), identified: map[control.WorkerID][]bool{}}
+		return h.passive
 	}
 	var list []string
 	for _, worker := range workers {
--- a/internal/platform/replaced_worker_test.go
+++ b/internal/platform/replaced_worker_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"mastchute/control"
 )
 
-// prepare performs steps: "connect W" opens a connection to a worker, "lose W" resets all connections to it, "confirm" polls
-// the change log, and "outage" takes it down.
+// prepare performs steps: "connect W" opens a connection to a worker, "occupy W" uses up its only stream, "lose W" resets all
+// connections to it, "confirm" polls the change log, "outage" takes it down, and "doubt" only lets the list's validity end.
 func (h *harness) prepare(steps string, workers map[string]*fakeWorker) {
 	h.t.Helper()
 	for step := range strings.SplitSeq(steps, "; ") {
@@ -18,6 +21,8 @@
 			h.connect(workers[name])
 		case "lose":
 			h.loseConnections(workers[name])
+		case "occupy":
+			h.occupyStream(workers[name])
 		case "confirm":
 			h.confirmList()
 		case "outage":
@@ -249,6 +254,81 @@
 			if n := len(other.messages("invoke")); n != c.want {
 				t.Errorf("%d attempts, want %d", n, c.want)
 			}
+			if n := h.counterSum("mastchute_violations_total"); n > 0 {
+				t.Errorf("the control module decided %g times against the rules", n)
+			}
 		})
 	}
 }
+
+// Guards against a control module that decides by outdated facts, so that its decisions are barred and use up the request's
+// attempts: it is told of each worker and attempt whose process the connections show to be another than the entry's, or in doubt.
+func TestControlModuleIsToldOfProcesses(t *testing.T) {
+	crash := respond("crashed", "-", "")
+	for _, c := range []struct {
+		name  string
+		steps string // before the attempt at w1
+		play  func(h *harness, worker *fakeWorker)
+		want  []control.DedupGroup // reports about the attempt
+	}{
+		{"to a worker in doubt, which was reported", "outage", func(*harness, *fakeWorker) {}, nil},
+		{"on a connection from before", "connect w1; confirm; outage", func(*harness, *fakeWorker) {}, nil},
+		{"on a new connection, as that one is in use", "connect w1; confirm; outage; occupy w1", func(*harness, *fakeWorker) {},
+			[]control.DedupGroup{{}}},
+		{"the list goes into doubt, and is confirmed", "confirm", func(h *harness, _ *fakeWorker) {
+			h.prepare("doubt; confirm", nil)
+		}, []control.DedupGroup{{}, inCell(1)}},
+		{"the list tells of a replacement", "confirm", func(h *harness, worker *fakeWorker) {
+			h.publishAndWait(entryJSON("new", worker, "z", 2, "active", longBefore))
+		}, []control.DedupGroup{inCell(2)}},
+		{"the response shows which process it is", "confirm", func(h *harness, worker *fakeWorker) {
+			h.publishAndWait(entryJSON("new", worker, "z", 2, "active", justNow))
+			time.Sleep(700 * time.Millisecond) // the clocks may differ by 0.5 s
+			message := worker.messages("invoke")[0]
+			crash(message.conn, message)
+			h.waitUntil("the attempt has ended", func() bool { return h.callsInFlight() == 0 })
+			h.onLoop(func() {})
+		}, []control.DedupGroup{{Zone: 1, ZoneKnown: true}, inCell(2)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			worker := newFakeWorker(t, "w1", respondServed)
+			h := newPassiveHarness(t, worker)
+			h.prepare(c.steps, map[string]*fakeWorker{"w1": worker})
+			worker.setAction(ignore)
+			before := len(worker.messages("invoke"))
+			h.attempt(h.startRequest(h.dial(), "local"), "w1")
+			for len(worker.messages("invoke")) == before {
+				h.onLoop(func() {})
+			}
+			c.play(h, worker)
+			h.onLoop(func() {
+				if !slices.Equal(h.passive.traced, c.want) {
+					t.Errorf("%+v, want %+v", h.passive.traced, c.want)
+				}
+			})
+		})
+	}
+}
+
+// inCell returns the group of a cell of the only zone: names are numbered in the order in which the list has them.
+func inCell(cell control.CellID) control.DedupGroup { return control.KnownGroup(1, cell) }
+
+// Guards, as above, against attempts of the control module at workers whose process is in doubt.
+func TestControlModuleIsToldOfWorkersInDoubt(t *testing.T) {
+	idle := newFakeWorker(t, "w1", respondServed)
+	connected := newFakeWorker(t, "w2", respondServed)
+	h := newPassiveHarness(t, idle, connected)
+	h.prepare("connect w2; confirm", map[string]*fakeWorker{"w2": connected})
+	h.onLoop(func() { clear(h.passive.identified) }) // the list is in doubt at the start, too
+	h.prepare("doubt", nil)
+	h.loseConnections(connected)
+	h.prepare("confirm", nil)
+	h.onLoop(func() {
+		for _, name := range []string{"w1", "w2"} {
+			got := h.passive.identified[h.dispatcher.Gateway.Members.ByName(name).ID]
+			if !slices.Equal(got, []bool{false, true}) {
+				t.Errorf("%s: %v, want in doubt (w2 when its connection is lost), then identified", name, got)
+			}
+		}
+	})
+}
--- a/internal/platform/unsent_attempt_test.go
+++ b/internal/platform/unsent_attempt_test.go
@@ -260,18 +260,49 @@
 	}
 }
 
+// Guards against a request that waits until its deadline for an attempt that may no longer be sent: the attempt ends, unsent, with
+// the window of the later one, though its stream is still in use.
+func TestQueuedAttemptEndsWithWindowOfLaterOne(t *testing.T) {
+	busy := newFakeWorker(t, "w1", respondServed)
+	later := newFakeWorker(t, "w2", resetConn)
+	h := newPassiveHarness(t, busy, later)
+	h.connect(busy)
+	h.occupyConn(busy)
+	id := h.startRequest(h.dial(), "write")
+	h.attempt(id, "w1")
+	h.attempt(id, "w2")
+	queued := func() int { return h.dispatcher.Gateway.Status().Workers[0].Queued }
+	time.Sleep(600 * time.Millisecond)
+	h.onLoop(func() {
+		if queued() != 1 {
+			t.Errorf("%d attempts wait within the window, want 1", queued())
+		}
+	})
+	time.Sleep(700 * time.Millisecond)
+	h.onLoop(func() {
+		if queued() != 0 {
+			t.Errorf("%d attempts wait after the window, want none", queued())
+		}
+	})
+}
+
 // occupyConn uses up the only stream of the connection to a worker, which gets no other connection, until release is called.
 func (h *harness) occupyConn(worker *fakeWorker) (release func()) {
 	h.t.Helper()
 	blackhole, _ := newBlackhole(h.t)
 	h.onLoop(func() {
 		pool := &h.dispatcher.clients.workers
-		pool.maxStreams = 1
 		pool.connectTimeout = 60
 		for conn := range pool.conns {
 			conn.transport.addr = blackhole
 		}
 	})
+	return h.occupyStream(worker)
+}
+
+// occupyStream uses up the only stream of a connection to a worker until release is called.
+func (h *harness) occupyStream(worker *fakeWorker) (release func()) {
+	h.t.Helper()
 	released := make(chan struct{})
 	worker.setAction(func(conn net.Conn, message workerMessage) {
 		go func() {
@@ -279,8 +310,10 @@
 			respondServed(conn, message)
 		}()
 	})
+	h.onLoop(func() { h.dispatcher.clients.workers.maxStreams = 1 })
+	before := len(worker.messages("invoke"))
 	h.attempt(h.startRequest(h.dial(), "read"), worker.id)
-	for len(worker.messages("invoke")) < 2 {
+	for len(worker.messages("invoke")) == before {
 		h.onLoop(func() {})
 	}
 	worker.setAction(respondServed)
