Review case 8: a runner replaced in an idle gap gets repeats of another bay, after it was told

Cause: a connection opened before the latest confirmation of the list counts as leading to the listed process, although a list that is seconds late can be confirmed without showing the replacement.

--- a/review/stand2/changelog.go
+++ b/review/stand2/changelog.go
@@ -30,7 +30,8 @@
 	events []map[string]any
 	toldAt []float64
 	grown  chan struct{}
-	hold   func() bool // a poll that arrives while it returns true is never answered
+	polled chan float64 // gets the time of a poll, if somebody waits for one
+	hold   func() bool  // a poll that arrives while it returns true is never answered
 }
 
 // newChangeLog starts a change log whose first event is a complete list.
@@ -91,16 +92,24 @@
 		<-in.Context().Done()
 		return
 	}
+	select {
+	case c.polled <- c.rec.now():
+	default:
+	}
 	deadline := time.After(time.Duration(min(wait, 5000)) * time.Millisecond)
 	for {
 		answer, some, grown := c.since(seq)
-		if some || wait <= 0 {
+		if (some || wait <= 0) && (c.hold == nil || !c.hold()) {
 			c.write(out, answer)
 			return
 		}
 		select {
 		case <-grown:
 		case <-deadline:
+			if c.hold != nil && c.hold() {
+				<-in.Context().Done()
+				return
+			}
 			c.write(out, answer)
 			return
 		case <-in.Context().Done():
--- a/review/stand2/replaced.go
+++ b/review/stand2/replaced.go
@@ -65,7 +65,7 @@
 	done.Wait()
 	sleep(6)
 	w.rec.printf("requests by class and end: %v", c.counts())
-	return f.judgeCells()
+	return f.judgeCells(0)
 }
 
 // replace ends a runner and starts another one of the next cell at its address. The list tells of both later.
@@ -83,8 +83,8 @@
 	return next
 }
 
-// judgeCells checks that no deduped request that may have run was sent to a runner of another cell.
-func (f *fleet) judgeCells() int {
+// judgeCells checks that no deduped request that may have run was sent to a runner of another cell later than a time.
+func (f *fleet) judgeCells(after float64) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	earlier := map[string][]*attempt{}
@@ -94,7 +94,7 @@
 			continue
 		}
 		for _, e := range earlier[a.id] {
-			if e.neverRan() || e.cell == a.cell {
+			if a.at <= after || e.neverRan() || e.cell == a.cell {
 				continue
 			}
 			broken++
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 )
 
 // attempt is an invoke that has reached a runner whole.
@@ -37,6 +38,7 @@
 	work     func() float64      // the length of a run on a warm runner
 	coldFrom float64             // the part of its speed that a runner has at its start
 	coldFor  float64             // the time until it is warm
+	cores    int                 // of a runner, 0 for as many as it has requests
 }
 
 // runner is the stand-in of one runner process.
@@ -44,6 +46,7 @@
 	fleet     *fleet
 	id, addr  string
 	cell      int
+	speed     float64 // of its cores, once warm
 	startedAt float64
 	listener  net.Listener
 	mu        sync.Mutex
@@ -52,9 +55,11 @@
 	open      int
 	draining  bool
 	dead      bool
+	cores     chan bool   // holds the cores in use
+	resets    atomic.Bool // connections are reset under some deduped requests that have run
 }
 
-const runnerRoom = 24 // requests that a runner holds; it answers overload to more
+const runnerRoom = 40 // requests that a runner holds; it answers overload to more
 
 // startRunner starts a runner at an address, "" for a free one. Models that it holds already are in models.
 func (f *fleet) startRunner(id, addr string, cell int, startedAt float64, models ...string) *runner {
@@ -63,8 +68,11 @@
 	}
 	ln, err := net.Listen("tcp4", addr)
 	must(err)
-	r := &runner{fleet: f, id: id, addr: ln.Addr().String(), cell: cell, startedAt: startedAt, listener: ln,
+	r := &runner{fleet: f, id: id, addr: ln.Addr().String(), cell: cell, speed: 1, startedAt: startedAt, listener: ln,
 		conns: map[net.Conn]bool{}, models: map[string]float64{}}
+	if f.cores > 0 {
+		r.cores = make(chan bool, f.cores)
+	}
 	for _, model := range models {
 		r.models[model] = startedAt
 	}
@@ -196,6 +204,11 @@
 		r.mu.Lock()
 		r.open--
 		r.mu.Unlock()
+		if r.resets.Load() && a.ranAt > 0 && a.key != "" && rand.Float64() < gapReset {
+			r.fleet.rec.printf("%s resets the connection under %s", r.id, a.id)
+			reset(conn)
+			return
+		}
 		r.end(conn, a, word, detail, body)
 	}()
 }
@@ -225,8 +238,15 @@
 	if a.key != "" && f.isRepeat(a, r.cell) {
 		return "served", detail
 	}
+	if r.cores != nil {
+		r.cores <- true
+		defer func() { <-r.cores }()
+		if f.rec.now() > until {
+			return "nobody", ""
+		}
+	}
 	age := f.rec.now() - r.startedAt
-	speed := min(1, f.coldFrom+(1-f.coldFrom)*age/f.coldFor)
+	speed := r.speed * min(1, f.coldFrom+(1-f.coldFrom)*age/f.coldFor)
 	sleep(f.work() / speed)
 	r.mu.Lock()
 	dead := r.dead
