--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,9 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+const longest = 118 * time.Second // a case that takes longer is ended as not run
+
 // The exit codes of a case.
 const (
 	exitHeld   = 0
@@ -39,6 +44,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	go w.endEarly()
 	defer func() {
 		if failure := recover(); failure != nil {
 			w.rec.printf("not run: %v", failure)
@@ -52,6 +58,20 @@
 	return code
 }
 
+// endEarly ends the dispatchers and the case when it gets a signal or takes too long.
+func (w *world) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case got := <-signals:
+		w.rec.printf("not run to its end: %v", got)
+	case <-time.After(longest):
+		w.rec.printf("not run: longer than %v", longest)
+	}
+	w.close()
+	os.Exit(exitNotRun)
+}
+
 // findRoot returns the repository's root: the nearest folder above that has a deploy file.
 func findRoot() (string, error) {
 	dir, err := os.Getwd()
